--- /dev/null
+++ b/oatport/api/__init__.py
@@ -0,0 +1,1 @@
+"""What calls oatport: users, workers and the other nodes."""
--- /dev/null
+++ b/oatport/api/workers.py
@@ -0,0 +1,30 @@
+"""Workers' reports: the leader answers them, the others name the leader."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from oatport import wire
+from oatport.api.server import Answer, BodyReader
+
+
+class Desk(Protocol):
+    """What takes reports in."""
+
+    node_name: str
+
+    def take_report(self, report: wire.Report) -> dict[str, Any] | None:
+        """The answer, or None if this node is not entitled to give one."""
+
+    def leader_name(self) -> str | None: ...
+
+
+async def handle_report(desk: Desk, method: str, body: BodyReader) -> Answer:
+    if method != "POST":
+        return Answer(405, {"error": "wrong method"}, {"Allow": "POST"})
+    report = wire.report(await body.read())
+    answer = desk.take_report(report)
+    if answer is not None:
+        return Answer(200, answer)
+    leader = desk.leader_name()
+    return Answer(421, wire.redirect(leader if leader != desk.node_name else None))
--- /dev/null
+++ b/oatport/cli.py
@@ -0,0 +1,112 @@
+"""The command line: serve, check settings, and submit, show or cancel a job."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import logging
+import os
+import sys
+from typing import Any
+
+from oatport import __version__
+from oatport.settings import SettingsError, load, load_tuning
+
+LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="oatport", description="A cluster scheduler for rented machines.")
+    parser.add_argument("--version", action="version", version=f"oatport {__version__}")
+    parser.add_argument("--config", metavar="FILE", help="serve with this platform settings file (TOML)")
+    parser.add_argument("--tuning", metavar="FILE", default=os.environ.get("OATPORT_TUNING"),
+                        help="operators' own settings (INI); also $OATPORT_TUNING")
+    commands = parser.add_subparsers(dest="command")
+    serve = commands.add_parser("serve", help="run a controller node")
+    serve.add_argument("file", help="platform settings file (TOML)")
+    check = commands.add_parser("check", help="check settings files and exit")
+    check.add_argument("file", help="platform settings file (TOML)")
+    for name, text in (("submit", "submit a job"), ("show", "show a job"), ("cancel", "cancel a job")):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("--node", required=True, metavar="HOST:PORT", help="a controller node")
+        if name == "submit":
+            command.add_argument("file", help="the job as JSON, with the fields of POST /submissions; - for stdin")
+        else:
+            command.add_argument("ref", help="the job's id")
+    return parser
+
+
+def set_up_logging() -> None:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    level = LEVELS.get(name)
+    if level is None:
+        raise SettingsError(f"LOG_LEVEL: must be one of {', '.join(LEVELS)}, got {name!r}")
+    logging.basicConfig(
+        level=level, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s", force=True
+    )
+    logging.getLogger("asyncio").setLevel(max(level, logging.WARNING))
+    logging.getLogger("aiohttp").setLevel(max(level, logging.WARNING))
+
+
+def serve(config: str, tuning: str | None) -> int:
+    settings, own = load(config), load_tuning(tuning)
+    set_up_logging()
+    from oatport.service.node import Node
+
+    # What was imported lives as long as the process: keep the collector off it.
+    gc.collect()
+    gc.freeze()
+    asyncio.run(Node(settings, own).run())
+    return 0
+
+
+async def _call(node: str, method: str, path: str, body: Any = None) -> int:
+    from oatport.clients.http import HttpClient, NoAnswer, make_session
+    from oatport.times import SECOND
+
+    session = make_session(64)
+    try:
+        status, value = await HttpClient(session, node).request(method, path, body, timeout_us=5 * SECOND)
+    except NoAnswer as error:
+        print(f"oatport: {node}: no answer: {error}", file=sys.stderr)
+        return 2
+    finally:
+        await session.close()
+    print(json.dumps(value))
+    if status >= 400:
+        print(f"oatport: {node} answered {status}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = _parser().parse_args(argv)
+    try:
+        if arguments.command == "serve" or (arguments.command is None and arguments.config):
+            return serve(arguments.file if arguments.command else arguments.config, arguments.tuning)
+        if arguments.command == "check":
+            load(arguments.file)
+            load_tuning(arguments.tuning)
+            print(f"{arguments.file}: ok")
+            return 0
+        if arguments.command == "submit":
+            with (sys.stdin if arguments.file == "-" else open(arguments.file, encoding="utf-8")) as source:
+                job = json.load(source)
+            return asyncio.run(_call(arguments.node, "POST", "/submissions", job))
+        if arguments.command in ("show", "cancel"):
+            path = f"/submissions/{arguments.ref}"
+            if arguments.command == "cancel":
+                return asyncio.run(_call(arguments.node, "POST", path + "/cancel"))
+            return asyncio.run(_call(arguments.node, "GET", path))
+    except SettingsError as error:
+        print(f"oatport: {error}", file=sys.stderr)
+        return 2
+    except (OSError, json.JSONDecodeError) as error:
+        print(f"oatport: {getattr(arguments, 'file', '')}: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+    _parser().print_help(sys.stderr)
+    return 2
--- /dev/null
+++ b/oatport/clients/__init__.py
@@ -0,0 +1,1 @@
+"""What oatport calls: state service, cloud, workers and the other nodes."""
--- /dev/null
+++ b/oatport/clients/http.py
@@ -0,0 +1,100 @@
+"""One HTTP client for all that oatport calls: CBOR bodies, a deadline on every request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import aiohttp
+from yarl import URL
+
+from oatport import wire
+from oatport.times import SECOND, seconds, steady
+
+HEADERS = {"Content-Type": wire.CBOR_TYPE}
+
+
+class NoAnswer(Exception):
+    """No answer came: the request may have been executed, or may still be."""
+
+
+class NotSent(NoAnswer):
+    """No connection came about: the request can't be executed (PROTOCOL, "Delayed messages")."""
+
+
+class Refused(Exception):
+    """Answered that it was not executed (429, 503)."""
+
+    def __init__(self, status: int, value: Any = None) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+        self.value = value
+
+
+class Bucket:
+    """A rate budget: `rate` a second, with bursts of a second's worth."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = max(rate, 0.1)
+        self.level = self.rate
+        self.at = steady()
+
+    def take(self, count: float = 1.0) -> int:
+        """Reserve `count`; the time to wait before using them (us)."""
+        now = steady()
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate / SECOND)
+        self.at = now
+        self.level -= count
+        return 0 if self.level >= 0 else round(-self.level / self.rate * SECOND)
+
+    async def spend(self, count: float = 1.0) -> None:
+        wait = self.take(count)
+        if wait:
+            await asyncio.sleep(seconds(wait))
+
+
+def jitter(base_us: int) -> float:
+    """A pause in seconds of half to one and a half times `base_us`."""
+    return seconds(base_us) * random.uniform(0.5, 1.5)
+
+
+def make_session(sockets: int) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=max(16, sockets // 4), limit_per_host=12, keepalive_timeout=30.0, use_dns_cache=False,
+    )
+    return aiohttp.ClientSession(
+        connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+class HttpClient:
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def request(
+        self, method: str, path: str, body: Any = None, *, timeout_us: int, query: str = ""
+    ) -> tuple[int, Any]:
+        """Status and decoded body."""
+        # Built encoded, since slashes in keys go over the wire as they are.
+        url = URL(f"{self._base}{path}{'?' + query if query else ''}", encoded=True)
+        data = None if body is None else wire.dumps(body)
+        try:
+            async with asyncio.timeout(seconds(timeout_us)):
+                async with self._session.request(
+                    method, url, data=data, headers=HEADERS, allow_redirects=False
+                ) as response:
+                    raw = await response.read()
+                    status = response.status
+        except aiohttp.ClientConnectorError as error:
+            raise NotSent(str(error)) from None
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise NoAnswer(f"{type(error).__name__} {error}") from None
+        if not raw:
+            return status, None
+        try:
+            return status, wire.loads(raw)
+        except wire.BadMessage as error:
+            raise NoAnswer(f"status {status} with a body that is {error}") from None
--- /dev/null
+++ b/oatport/clients/peer.py
@@ -0,0 +1,26 @@
+"""The other controller nodes: tagged tuples, as CBOR arrays."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+
+from oatport import wire
+from oatport.clients.http import HttpClient, NoAnswer
+from oatport.times import MS
+
+DEADLINE = 800 * MS
+
+
+class PeerClient:
+    def __init__(self, session: aiohttp.ClientSession, name: str, address: str) -> None:
+        self.name = name
+        self._http = HttpClient(session, address)
+
+    async def ask(self, *message: Any, timeout_us: int = DEADLINE) -> list[Any]:
+        """Send ("tag", ...) and return the answer, another such tuple."""
+        status, value = await self._http.request("POST", wire.PEER, list(message), timeout_us=timeout_us)
+        if status != 200 or not isinstance(value, list) or not value:
+            raise NoAnswer(f"status {status}")
+        return value
--- /dev/null
+++ b/oatport/clients/state.py
@@ -0,0 +1,133 @@
+"""The state service."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from oatport import wire
+from oatport.clients.http import HttpClient, NoAnswer, Refused
+from oatport.times import MS, SECOND, steady
+
+log = logging.getLogger(__name__)
+
+DEADLINE = 1_200 * MS
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    failed: tuple[str, ...]
+
+
+class NoLease(Exception):
+    """The lease ended."""
+
+
+class StateClient:
+    """Every call raises NoAnswer (unsure) or Refused (surely not executed) where it fails."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._http = HttpClient(session, address)
+        self.ok_at = 0  # when the last answered request was sent
+        self.failed_at = 0
+        self.on_answer: Callable[[bool], None] = lambda served: None
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, *, query: str = "", timeout_us: int = DEADLINE
+    ) -> tuple[int, Any]:
+        asked = steady()
+        try:
+            status, value = await self._http.request(method, path, body, query=query, timeout_us=timeout_us)
+        except NoAnswer:
+            self.failed_at = asked
+            self.on_answer(False)
+            raise
+        if status == 429:
+            raise Refused(status, value)
+        if status >= 500:
+            self.failed_at = asked
+            self.on_answer(False)
+            raise Refused(status, value)
+        self.ok_at = max(self.ok_at, asked)
+        self.on_answer(True)
+        return status, value
+
+    async def get(self, key: str) -> tuple[Any, int] | None:
+        """Value and version of a key, or None."""
+        status, value = await self._call("GET", f"{wire.STORE}/{key}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise Refused(status, value)
+        return value["value"], int(value["entryRev"])
+
+    async def list(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+        """All items under a prefix, and the revision of the oldest page."""
+        rows: list[dict[str, Any]] = []
+        after, revision = "", 0
+        while True:
+            query = f"under={prefix}&page=1000" + (f"&from={after}" if after else "")
+            status, value = await self._call("GET", wire.STORE, query=query, timeout_us=3 * SECOND)
+            if status != 200:
+                raise Refused(status, value)
+            rows += value["rows"]
+            revision = revision or int(value["ledgerRev"])
+            if not value.get("hasNext") or not value["rows"]:
+                return rows, revision
+            after = value["rows"][-1]["path"]
+
+    async def commit(
+        self, conditions: dict[str, int], sets: dict[str, Any], drops: list[str] | None = None,
+        lease: int | None = None, timeout_us: int = DEADLINE,
+    ) -> Applied | Conflict:
+        """A conditional transaction. Writes arrive late, so none goes without a condition."""
+        assert conditions
+        ops: list[dict[str, Any]] = []
+        for key, value in sets.items():
+            op = {"set": key, "value": value}
+            if lease is not None:
+                op["permit"] = lease
+            ops.append(op)
+        ops += [{"drop": key} for key in drops or ()]
+        body = {"if": [{"path": k, "entryRev": v} for k, v in conditions.items()], "then": ops}
+        status, value = await self._call("POST", wire.COMMIT, body, timeout_us=timeout_us)
+        if status == 200:
+            return Applied(int(value["ledgerRev"]))
+        if status == 409:
+            return Conflict(tuple(value.get("failed") or ()))
+        if status == 400 and isinstance(value, dict) and value.get("error") == "no such lease":
+            raise NoLease
+        log.error("the state service refused a transaction as malformed: %s", value)
+        raise Refused(status, value)
+
+    async def hold(self, life_us: int) -> int:
+        status, value = await self._call("POST", wire.HOLDS, {"lifeMs": life_us // MS})
+        if status != 200:
+            raise Refused(status, value)
+        return int(value["permit"])
+
+    async def touch(self, lease: int, timeout_us: int) -> None:
+        status, value = await self._call("POST", f"{wire.HOLDS}/{lease}/touch", {}, timeout_us=timeout_us)
+        if status == 404:
+            raise NoLease
+        if status != 200:
+            raise Refused(status, value)
+
+    async def changes(self, prefix: str, revision: int, wait_us: int) -> tuple[int, list[dict[str, Any]]] | None:
+        """Changes under a prefix after a revision; None: too old, read the keys again."""
+        query = f"under={prefix}&from={revision}&waitMs={wait_us // MS}"
+        status, value = await self._call("GET", wire.CHANGES, query=query, timeout_us=wait_us + DEADLINE)
+        if status == 410:
+            return None
+        if status != 200:
+            raise Refused(status, value)
+        return int(value["ledgerRev"]), value.get("news") or []
--- /dev/null
+++ b/oatport/clients/worker.py
@@ -0,0 +1,36 @@
+"""Workers, one per machine."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from oatport import wire
+from oatport.clients.http import HttpClient, NoAnswer
+from oatport.times import MS
+
+COMMANDS_DEADLINE = 2_000 * MS
+SHOW_DEADLINE = 1_000 * MS
+
+
+class WorkerClient:
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._http = HttpClient(session, address)
+
+    async def commands(self, token: int, session: int, orders: list[wire.Command]) -> wire.Report:
+        """The worker's report after the commands, or after refusing them (409): either way it has answered."""
+        body = wire.commands_body(token, session, orders)
+        status, value = await self._http.request("POST", wire.COMMANDS, body, timeout_us=COMMANDS_DEADLINE)
+        return self._report(status, value)
+
+    async def show(self) -> wire.Report:
+        status, value = await self._http.request("GET", wire.SHOW, timeout_us=SHOW_DEADLINE)
+        return self._report(status, value)
+
+    @staticmethod
+    def _report(status: int, value: object) -> wire.Report:
+        if status not in (200, 409):
+            raise NoAnswer(f"status {status}")
+        try:
+            return wire.report(value)
+        except wire.BadMessage as error:
+            raise NoAnswer(f"not a report: {error}") from None
--- /dev/null
+++ b/oatport/control/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no I/O and no clock; events and the time are handed in."""
--- /dev/null
+++ b/oatport/control/cluster.py
@@ -0,0 +1,722 @@
+"""The leader's view of jobs and machines: fed events and the time, it decides what to write and send.
+
+Writing down comes first: a claim becomes a placement only when its commit is known to be applied,
+and only then does its start go out. A task stays on its machine until it is proven gone.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from oatport import wire
+from oatport.control.model import CHUNK_TASKS, Job, Kind, Machine, Phase, Task, split_task
+from oatport.control.predictor import Predictor
+from oatport.control.router import Router
+from oatport.settings import ClusterSettings, Team, Tuning
+from oatport.times import MS, SECOND, micros
+
+log = logging.getLogger(__name__)
+
+FLEET_CHUNK = 40  # machines in one fleet record
+
+JOBS, LIVE, FLEET = "jobs/", "live/", "fleet/"
+MODEL_KEY, CATALOG_KEY, LEADER_KEY = "model", "catalog", "leader"
+CANCEL_MARK = "x"  # live/REF/x: the job was cancelled, so that a takeover sees it among live work
+
+
+def job_key(ref: str) -> str:
+    return JOBS + ref
+
+
+def live_key(ref: str) -> str:
+    return LIVE + ref
+
+
+def chunk_key(ref: str, chunk: int) -> str:
+    return f"{LIVE}{ref}/{chunk:04d}"
+
+
+def cancel_key(ref: str) -> str:
+    return f"{LIVE}{ref}/{CANCEL_MARK}"
+
+
+@dataclass(slots=True)
+class TeamUse:
+    """What a team's tasks take; those not proven gone count (rule `quota`)."""
+
+    limits: Team
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+    def room(self, spec: wire.Submission) -> int:
+        """How many more tasks of a job the team's limit allows."""
+        count = spec.tasks
+        if self.limits.cpus_max > 0:
+            count = min(count, int((self.limits.cpus_max - self.cpus + 1e-9) // spec.cpus))
+        if self.limits.gpus_max > 0 and spec.gpus > 0:
+            count = min(count, int((self.limits.gpus_max - self.gpus + 1e-9) // spec.gpus))
+        return max(count, 0)
+
+    def within_guarantee(self, spec: wire.Submission) -> bool:
+        """One more task of a job still fits the team's guarantee."""
+        return self.cpus + spec.cpus <= self.limits.cpus + 1e-9 and (
+            spec.gpus <= 0 or self.gpus + spec.gpus <= self.limits.gpus + 1e-9
+        )
+
+    def beyond_guarantee(self) -> bool:
+        return self.cpus > self.limits.cpus + 1e-9 or self.gpus > self.limits.gpus + 1e-9
+
+
+@dataclass(slots=True)
+class Batch:
+    """One transaction of the leader's, without the leader condition that its sender adds."""
+
+    conditions: dict[str, int] = field(default_factory=dict)
+    sets: dict[str, Any] = field(default_factory=dict)
+    drops: list[str] = field(default_factory=list)
+    claims: list[tuple[Task, int, Machine]] = field(default_factory=list)  # with attempt and machine as written
+    finished: list[Job] = field(default_factory=list)
+    cleaned: list[Job] = field(default_factory=list)
+
+    @property
+    def ops(self) -> int:
+        return len(self.sets) + len(self.drops)
+
+
+class Cluster:
+    def __init__(
+        self, token: int, settings: ClusterSettings, tuning: Tuning, types: dict[str, wire.MachineType],
+        predictor: Predictor,
+    ) -> None:
+        self.token = token
+        self.settings = settings
+        self.tuning = tuning
+        self.types = types
+        self.predictor = predictor
+        self.router = Router(predictor, tuning.us("spot_threshold_s"), tuning.slack_factor)
+        self.jobs: dict[str, Job] = {}
+        self.waiting: set[Job] = set()
+        self.machines: dict[str, Machine] = {}
+        self.released: set[str] = set()  # names that a release answered: gone for good
+        self.teams = {team.name: TeamUse(team) for team in settings.teams}
+        self.versions: dict[str, int] = {}  # of the leader's own keys, as known
+        self.urgent: dict[str, None] = {}  # keys to write now: claims
+        self.dirty: dict[str, None] = {}  # keys to write soon: ends
+        self.in_flight: set[str] = set()
+        self.to_finish: dict[Job, None] = {}
+        self.to_clean: dict[Job, None] = {}
+        self.orphans: list[str] = []  # left keys without a job
+        self.to_send: set[Machine] = set()  # machines with commands that should not wait for a report
+        self.replan = True
+        self.report_us = micros(settings.workers.report_s)
+        self.fresh_us = 2 * self.report_us + SECOND
+        self.usable_now: list[Machine] = []
+
+    # --- jobs -------------------------------------------------------------------------------
+
+    def add_job(self, ref: str, spec: wire.Submission, version: int, submitted_at: int) -> Job:
+        job = self.jobs.get(ref)
+        if job is None:
+            job = self.jobs[ref] = Job(ref, spec, version, submitted_at)
+            self.versions[live_key(ref)] = version
+            self.waiting.add(job)
+            self.replan = True
+        return job
+
+    def cancel_job(self, ref: str, mark_version: int) -> None:
+        """Its user was told that it is cancelled: nothing starts any more, all its tasks must go."""
+        job = self.jobs.get(ref)
+        if job is None:
+            return
+        if mark_version:
+            self.versions[cancel_key(ref)] = mark_version
+        if job.cancelled:
+            return
+        job.cancelled = True
+        self.waiting.discard(job)
+        self.to_finish.pop(job, None)
+        for task in list(job.tasks.values()):
+            if task.phase is Phase.CLAIMED:
+                self.unassign(task)
+            elif task.phase is Phase.PLACED:
+                self.stop(task, 0.0)
+        self._clean_if_gone(job)
+
+    def _clean_if_gone(self, job: Job) -> None:
+        if job.cancelled and job.on_machines == 0 and job.strays == 0:
+            self.to_clean[job] = None
+
+    def drop_job(self, job: Job) -> None:
+        self.jobs.pop(job.ref, None)
+        self.waiting.discard(job)
+        self.predictor.forget_job(job.ref)
+        left = set(self.orphans)  # their versions are still needed
+        for key in [k for k in self._job_keys(job) if k in self.versions and k not in left]:
+            self.versions.pop(key, None)
+            self.urgent.pop(key, None)
+            self.dirty.pop(key, None)
+
+    def _job_keys(self, job: Job) -> list[str]:
+        """All keys that job may have under live/, head first."""
+        chunks = (job.fresh + CHUNK_TASKS - 1) // CHUNK_TASKS if job.fresh else 0
+        chunks = max(chunks, 1)
+        return [live_key(job.ref), cancel_key(job.ref), *(chunk_key(job.ref, c) for c in range(chunks))]
+
+    # --- tasks on machines ------------------------------------------------------------------
+
+    def assign(self, task: Task, machine: Machine) -> None:
+        job, spec = task.job, task.job.spec
+        task.machine = machine
+        machine.tasks.add(task)
+        machine.take(spec.cpus, spec.gpus, spec.memory_gb)
+        job.on_machines += 1
+        job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+        use = self.teams.get(spec.team)
+        if use:
+            use.cpus += spec.cpus
+            use.gpus += spec.gpus
+
+    def unassign(self, task: Task) -> None:
+        """The task is on no machine: it never got there, or is proven gone."""
+        job, spec, machine = task.job, task.job.spec, task.machine
+        assert machine is not None
+        machine.tasks.discard(task)
+        machine.give(spec.cpus, spec.gpus, spec.memory_gb)
+        job.on_machines -= 1
+        job.zones[machine.zone] -= 1
+        if not job.zones[machine.zone]:
+            del job.zones[machine.zone]
+        use = self.teams.get(spec.team)
+        if use:
+            use.cpus -= spec.cpus
+            use.gpus -= spec.gpus
+        task.to_pending()
+        self.replan = True
+
+    def requeue(self, task: Task, *, lost: bool) -> None:
+        """A task that left its machine without being done wants another."""
+        job = task.job
+        if task.machine is not None:
+            self.unassign(task)
+        job.again.append(task.index)
+        if lost:
+            job.lost += 1
+        self.touch(task)
+        if job.cancelled:
+            self._clean_if_gone(job)
+            return
+        self.waiting.add(job)
+        if job.kind is Kind.GANG:
+            self._gang_lost_task(job)
+
+    def _gang_lost_task(self, job: Job) -> None:
+        """A gang runs whole or not: what is left of this attempt is called off.
+
+        Running tasks exit with `mates_gone` by themselves and a stopped one would do no harm; if one
+        task is done all are, so with done ones the rest are left to report it.
+        """
+        if job.done:
+            return
+        for task in list(job.tasks.values()):
+            if task.phase is Phase.PLACED and task.status in ("", wire.FETCHING, wire.WAITING):
+                self.stop(task, 0.0)
+
+    def touch(self, task: Task, *, urgent: bool = False) -> None:
+        key = chunk_key(task.job.ref, task.index // CHUNK_TASKS)
+        if urgent:
+            self.dirty.pop(key, None)
+            self.urgent[key] = None
+        elif key not in self.urgent:
+            self.dirty[key] = None
+
+    def claim(self, job: Job, machine: Machine, now: int, attempt: int | None = None) -> Task:
+        task = job.take_pending()
+        task.attempt = attempt if attempt is not None else task.attempt + 1
+        task.phase = Phase.CLAIMED
+        task.claimed_at = now
+        self.assign(task, machine)
+        machine.images[job.spec.image] = now
+        machine.idle_since = 0
+        self.touch(task, urgent=True)
+        if not job.pending:
+            self.waiting.discard(job)
+        return task
+
+    def stop(self, task: Task, grace_s: float) -> None:
+        """Have a placed task leave its machine; repeated until a report shows it gone."""
+        if task.stopping is not None and grace_s >= task.stopping:
+            return
+        if task.claimed_at and not task.sent_session:
+            # Committed by this leader, but its start never went out: it is nowhere.
+            job = task.job
+            self.unassign(task)
+            job.again.append(task.index)
+            self.touch(task)
+            if job.cancelled:
+                self._clean_if_gone(job)
+            else:
+                self.waiting.add(job)
+            return
+        task.stopping = grace_s
+        if task.machine is not None:
+            self.to_send.add(task.machine)
+
+    def finish_task(self, task: Task, now: int, *, measured: bool = True) -> None:
+        job = task.job
+        machine = task.machine
+        if measured and task.running_since and job.kind is not Kind.SERVICE and not task.stopping:
+            took = now - task.running_since
+            if machine is not None:
+                self._learn_speed(machine, took, self.predictor.run_time(job.ref, job.spec))
+            self.predictor.finished(job.ref, job.spec, took)
+        if machine is not None:
+            machine.faults.clear()
+            self.unassign(task)
+        job.tasks.pop(task.index, None)
+        job.done.add(task.index)
+        self.touch(task)
+        if job.cancelled:
+            self._clean_if_gone(job)
+        elif len(job.done) >= job.spec.tasks and not job.finishing:
+            job.finishing = True
+            self.waiting.discard(job)
+            self.to_finish[job] = None
+
+    @staticmethod
+    def _learn_speed(machine: Machine, took: int, predicted: int) -> None:
+        if predicted > 0:
+            machine.slow_count += 1
+            machine.slow += (min(took / predicted, 10.0) - machine.slow) / min(machine.slow_count, 4)
+
+    # --- machines ---------------------------------------------------------------------------
+
+    def fleet_key(self, name: str) -> str:
+        digits = "".join(c for c in name if c.isdigit())
+        return f"{FLEET}{int(digits or 0) // FLEET_CHUNK:06d}"
+
+    def fleet_value(self, key: str) -> dict[str, Any]:
+        low = int(key[len(FLEET):]) * FLEET_CHUNK
+        rows = []
+        for machine in self.machines.values():
+            digits = int("".join(c for c in machine.name if c.isdigit()) or 0)
+            if low <= digits < low + FLEET_CHUNK:
+                rows.append([machine.name, machine.type.name, machine.zone, machine.spot, machine.address,
+                             machine.rented_wall, bool(machine.up_at or machine.was_up)])
+        return {"m": rows}
+
+    def add_machine(
+        self, name: str, type_name: str, zone: str, spot: bool, address: str, now: int, wall: int, age: int = 0
+    ) -> Machine | None:
+        """A machine rented, listed, recorded or reporting; None if it can't be one of ours."""
+        machine = self.machines.get(name)
+        if machine is None:
+            kind = self.types.get(type_name)
+            if kind is None or name in self.released:
+                return None
+            machine = Machine(name, kind, zone, spot, address, rented_at=now - age)
+            machine.rented_wall = wall - age
+            machine.idle_since = machine.known_since = now
+            self.machines[name] = machine
+            self.dirty[self.fleet_key(name)] = None
+        if address and machine.address != address:
+            machine.address = address
+            self.dirty[self.fleet_key(name)] = None
+        return machine
+
+    def machine_gone(self, machine: Machine, now: int, why: str) -> None:
+        """Proven gone: a release was answered, or the list says `failed`."""
+        if machine.gone:
+            return
+        machine.gone = True
+        log.info("machine %s gone: %s, %d tasks", machine.name, why, len(machine.tasks))
+        self.released.add(machine.name)
+        self.machines.pop(machine.name, None)
+        self.to_send.discard(machine)
+        self.dirty[self.fleet_key(machine.name)] = None
+        if machine.spot and machine.up_at:
+            self.predictor.spot_held(now - machine.rented_at, why == "taken" or bool(machine.taken_at))
+        for name, _ in machine.strays:
+            self._stray_left(name)
+        machine.strays.clear()
+        for task in list(machine.tasks):
+            self.requeue(task, lost=True)
+        self.replan = True
+
+    def _stray_left(self, name: str) -> None:
+        parts = split_task(name)
+        job = self.jobs.get(parts[0]) if parts else None
+        if job is not None:
+            job.strays = max(0, job.strays - 1)
+            self._clean_if_gone(job)
+            self.replan = True
+
+    # --- reports ----------------------------------------------------------------------------
+
+    def on_report(self, report: wire.Report, now: int, wall: int) -> Machine | None:
+        """Take in a worker's report, an answer of /commands or of /show; None: not a usable machine."""
+        machine = self.add_machine(
+            report.machine, report.type, report.zone, report.spot, report.address, now, wall
+        )
+        if machine is None:
+            return None
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            return machine  # an older message that came late
+        new_session = report.session != machine.session
+        machine.heard_at = now
+        if not machine.up_at:
+            machine.up_at = now
+            if not machine.tasks:
+                machine.idle_since = now
+            self.dirty[self.fleet_key(machine.name)] = None
+            self.replan = True
+        if machine.token != report.token or new_session:
+            self.replan = True
+        if new_session:
+            # Starts sent under an earlier session are refused from now on, and so are those of an
+            # earlier token once the worker has seen ours.
+            machine.unanswered.clear()
+            machine.images.clear()
+        machine.session, machine.seq, machine.token = report.session, report.seq, report.token
+        if report.notice_s is None:
+            machine.taken_at = 0
+        else:
+            taken_at = now + micros(max(report.notice_s, 0.0))
+            if not machine.taken_at:
+                machine.taken_at = taken_at
+                self._on_notice(machine, report.notice_s, now)
+            machine.taken_at = min(machine.taken_at, taken_at)
+        listed = {(row.task, row.attempt): row for row in report.tasks}
+        for task in list(machine.tasks):
+            if task.phase is not Phase.PLACED:
+                continue
+            row = listed.get((task.name, task.attempt))
+            if row is None:
+                self._on_absent(task, machine, report, now)
+                continue
+            self._on_listed(task, machine, row, report, now)
+        self._on_others(machine, report.tasks, now)
+        if machine.tasks or machine.strays:
+            machine.idle_since = 0
+        elif not machine.idle_since:
+            machine.idle_since = now
+        return machine
+
+    def _on_listed(
+        self, task: Task, machine: Machine, row: wire.TaskReport, report: wire.Report, now: int
+    ) -> None:
+        task.acked = (report.session, report.seq)
+        if row.status != wire.EXITED:
+            if row.status != wire.FETCHING:
+                machine.images[task.job.spec.image] = now
+            if row.status == wire.RUNNING and not task.running_since:
+                task.running_since = now
+                log.debug("task %s runs on %s after %d ms", task.name, machine.name,
+                          (now - task.claimed_at) // MS)
+            if task.status != row.status:
+                task.status = row.status
+            if task.job.cancelled and task.stopping is None:
+                self.stop(task, 0.0)
+            return
+        self._on_exit(task, machine, row, now)
+
+    def _on_exit(self, task: Task, machine: Machine, row: wire.TaskReport, now: int) -> None:
+        job, why = task.job, row.why
+        log.debug("task %s attempt %d on %s ended: %s", task.name, task.attempt, machine.name, why)
+        if why == wire.WHY_DONE and job.kind is not Kind.SERVICE:
+            self.finish_task(task, now)
+            return
+        wanted = task.stopping is not None
+        if why == wire.WHY_ERROR:
+            job.errors += 1
+            job.error_machines.add(machine.name)
+            machine.faults.add(job.ref)
+            if len(job.error_machines) > 1:
+                # It fails wherever it runs: its own mistake, most likely. Back off.
+                job.not_before = now + min(60, 1 << min(job.errors, 6)) * SECOND
+            if len(machine.faults) >= 2 or job.errors == 1:
+                machine.blocked_until = now + 20 * SECOND
+            if len(machine.faults) >= 2:
+                log.info("machine %s set aside: tasks of several jobs failed on it", machine.name)
+                machine.draining = True
+        elif why == wire.WHY_NO_ROOM:
+            machine.blocked_until = now + 3 * SECOND
+        elif why == wire.WHY_UNKNOWN:
+            job.not_before = now + 2 * SECOND
+        elif why == wire.WHY_BUSY:
+            machine.blocked_until = now + SECOND
+        self.requeue(task, lost=not wanted and why in (wire.WHY_PEERS, wire.WHY_STOPPED))
+
+    def _on_absent(self, task: Task, machine: Machine, report: wire.Report, now: int) -> None:
+        """A placed task that the newest report does not list: gone only if nothing can still bring it."""
+        if report.token != self.token:
+            return  # a start of an earlier leader may still land
+        key = (task.name, task.attempt)
+        if task.claimed_at and not task.sent_session:
+            self.to_send.add(machine)  # placed by this leader, its first start is just due
+            return
+        if task.sent_session and report.session <= task.sent_session:
+            if task.acked is None or machine.unanswered.get(key):
+                self.to_send.add(machine)  # our start is on its way or was lost: repeat it
+                return
+        log.info("task %s attempt %d is not on %s any more", task.name, task.attempt, machine.name)
+        self.requeue(task, lost=bool(task.sent_session))
+
+    def _on_others(self, machine: Machine, rows: list[wire.TaskReport], now: int) -> None:
+        """Tasks in the report that no record puts there."""
+        ended: set[tuple[str, int]] = set()
+        strays: dict[tuple[str, int], tuple[float, float, float]] = {}
+        here = {(t.name, t.attempt) for t in machine.tasks if t.phase is not Phase.PENDING}
+        for row in rows:
+            key = (row.task, row.attempt)
+            if row.status == wire.EXITED:
+                ended.add(key)
+                continue
+            if key in here:
+                continue
+            parts = split_task(row.task)
+            job = self.jobs.get(parts[0]) if parts else None
+            spec = job.spec if job else None
+            strays[key] = (spec.cpus, spec.gpus, spec.memory_gb) if spec else (0.0, 0.0, 0.0)
+        machine.ended = ended
+        for key in machine.strays.keys() - strays.keys():
+            machine.give(*machine.strays.pop(key))
+            self._stray_left(key[0])
+        for key in strays.keys() - machine.strays.keys():
+            log.info("stray task %s attempt %d on %s", key[0], key[1], machine.name)
+            machine.strays[key] = strays[key]
+            machine.take(*strays[key])
+            parts = split_task(key[0])
+            job = self.jobs.get(parts[0]) if parts else None
+            if job is not None:
+                job.strays += 1
+            self.to_send.add(machine)
+
+    def _on_notice(self, machine: Machine, notice_s: float, now: int) -> None:
+        """The cloud takes it back soon: what can't finish in time leaves now, saving if it can."""
+        log.info("machine %s will be taken back in %.0f s", machine.name, notice_s)
+        self.replan = True
+        left = micros(notice_s)
+        for task in list(machine.tasks):
+            self.drain_task(task, left, now)
+
+    def drain_task(self, task: Task, left: int, now: int) -> None:
+        job, spec = task.job, task.job.spec
+        if task.phase is not Phase.PLACED:
+            return
+        if job.kind is not Kind.SERVICE:
+            ran = now - task.running_since if task.running_since else 0
+            remaining = max(self.predictor.run_time(job.ref, spec) - ran, 0)
+            if task.running_since and remaining < left * 3 // 4:
+                return  # it will be done before
+        grace = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+        if micros(grace) > left:
+            grace = 0.0
+        if job.kind is Kind.GANG:
+            for mate in list(job.tasks.values()):
+                if mate.phase is Phase.PLACED:
+                    self.stop(mate, grace)
+        else:
+            self.stop(task, grace)
+
+    # --- commands ---------------------------------------------------------------------------
+
+    def commands(self, machine: Machine, now: int, *, direct: bool) -> tuple[list[wire.Command], list[Task]]:
+        """What to tell a machine now, and the tasks whose start is among it."""
+        orders: list[wire.Command] = []
+        starts: list[Task] = []
+        confirmed = machine.token == self.token
+        for task in machine.tasks:
+            if task.phase is not Phase.PLACED:
+                continue
+            never_sent = not task.sent_session
+            if never_sent and (not confirmed or task.claimed_at == 0):
+                # Of an earlier leader's: its first report under our token tells whether it is there.
+                if task.stopping is not None:
+                    orders.append(wire.stop(task.name, task.attempt, task.stopping))
+                continue
+            if task.acked is None and not (direct and task.repeat_start_at > now):
+                if not self._may_start(task):
+                    continue
+                orders.append(wire.start(task.name, task.attempt))
+                starts.append(task)
+            if task.stopping is not None:
+                orders.append(wire.stop(task.name, task.attempt, task.stopping))
+        for name, attempt in machine.strays:
+            orders.append(wire.stop(name, attempt, 0.0))
+        if confirmed:
+            for name, attempt in machine.ended:
+                if self._may_forget(machine, name, attempt):
+                    orders.append(wire.forget(name, attempt))
+        return orders, starts
+
+    @staticmethod
+    def _may_start(task: Task) -> bool:
+        """A gang starts whole: all its claims must be committed."""
+        if task.job.kind is not Kind.GANG:
+            return True
+        return all(mate.phase is not Phase.CLAIMED for mate in task.job.tasks.values())
+
+    def _may_forget(self, machine: Machine, name: str, attempt: int) -> bool:
+        """Not while a start of it may land (it would start again), nor before its end is committed."""
+        if machine.unanswered.get((name, attempt)):
+            return False
+        parts = split_task(name)
+        if parts is None:
+            return False
+        job = self.jobs.get(parts[0])
+        if job is None:
+            return True
+        if job.finishing:
+            return False
+        task = job.tasks.get(parts[1])
+        if task is not None and task.machine is machine and task.attempt == attempt:
+            return False
+        key = chunk_key(job.ref, parts[1] // CHUNK_TASKS)
+        return key not in self.dirty and key not in self.urgent and key not in self.in_flight
+
+    def sent(self, machine: Machine, starts: Iterable[Task], now: int, *, direct: bool) -> None:
+        """Starts are about to go out under the machine's present session."""
+        for task in starts:
+            task.sent_session = machine.session
+            if direct:
+                key = (task.name, task.attempt)
+                machine.unanswered[key] = machine.unanswered.get(key, 0) + 1
+                task.repeat_start_at = now + SECOND
+
+    def answered(self, machine: Machine, starts: Iterable[tuple[str, int]]) -> None:
+        """A direct command was answered, whether executed or refused: its starts can't land later."""
+        for key in starts:
+            count = machine.unanswered.get(key, 0) - 1
+            if count > 0:
+                machine.unanswered[key] = count
+            else:
+                machine.unanswered.pop(key, None)
+
+    # --- records ----------------------------------------------------------------------------
+
+    def has_writes(self) -> bool:
+        return bool(self.urgent or self.dirty or self.to_finish or self.to_clean or self.orphans)
+
+    def has_urgent(self) -> bool:
+        return bool(self.urgent or self.to_finish)
+
+    def take_batch(self, max_ops: int) -> Batch:
+        """The next transaction, the most pressing first."""
+        batch = Batch()
+        for key in list(self.urgent):
+            if batch.ops >= max_ops:
+                break
+            del self.urgent[key]
+            self._add_record(batch, key)
+        for job in list(self.to_finish):
+            keys = [k for k in self._job_keys(job) if self.versions.get(k)]
+            if batch.ops and batch.ops + 1 + len(keys) > max_ops:
+                break
+            del self.to_finish[job]
+            batch.conditions[job_key(job.ref)] = job.version
+            batch.sets[job_key(job.ref)] = job.record(wire.DONE)
+            self._add_drops(batch, keys, max_ops)
+            batch.finished.append(job)
+        for job in list(self.to_clean):
+            keys = [k for k in self._job_keys(job) if self.versions.get(k)]
+            if batch.ops and batch.ops + len(keys) > max_ops:
+                break
+            if job.cancelled and job.on_machines:
+                del self.to_clean[job]
+                continue
+            if any(k in self.in_flight for k in keys):
+                continue
+            del self.to_clean[job]
+            self._add_drops(batch, keys, max_ops)
+            batch.cleaned.append(job)
+        for key in list(self.dirty):
+            if batch.ops >= max_ops:
+                break
+            del self.dirty[key]
+            self._add_record(batch, key)
+        while self.orphans and batch.ops < max_ops:
+            self._add_drops(batch, [self.orphans.pop()], max_ops)
+        self.in_flight = {*batch.sets, *batch.drops}
+        return batch
+
+    def _add_drops(self, batch: Batch, keys: list[str], max_ops: int) -> None:
+        for key in keys:
+            if batch.ops < max_ops:
+                batch.conditions[key] = self.versions.get(key, 0)
+                batch.drops.append(key)
+            else:
+                self.orphans.append(key)
+            self.urgent.pop(key, None)
+            self.dirty.pop(key, None)
+
+    def _add_record(self, batch: Batch, key: str) -> None:
+        if key.startswith(FLEET):
+            value = self.fleet_value(key)
+            if value["m"]:
+                batch.sets[key] = value
+            elif self.versions.get(key):
+                batch.drops.append(key)
+            else:
+                return
+        elif key == MODEL_KEY:
+            batch.sets[key] = self.predictor.record()
+        else:
+            ref, chunk = key[len(LIVE):].rsplit("/", 1)
+            job = self.jobs.get(ref)
+            if job is None or job.cancelled or job.finishing:
+                return  # its keys go with the job
+            number = int(chunk)
+            batch.sets[key] = job.chunk_value(number)
+            batch.conditions[job_key(ref)] = job.version
+            low = number * CHUNK_TASKS
+            batch.claims += [
+                (task, task.attempt, task.machine) for task in job.tasks.values()
+                if task.phase is Phase.CLAIMED and task.machine and low <= task.index < low + CHUNK_TASKS
+            ]
+        batch.conditions[key] = self.versions.get(key, 0)
+
+    def committed(self, batch: Batch, revision: int, now: int) -> None:
+        """The transaction is known to be applied."""
+        self.in_flight = set()
+        for key in batch.drops:
+            self.versions.pop(key, None)
+        for key, value in batch.sets.items():
+            if key.startswith(JOBS):
+                continue
+            self.versions[key] = revision
+            if key.startswith(FLEET):
+                for row in value["m"]:
+                    machine = self.machines.get(row[0])
+                    if machine is not None and not machine.recorded:
+                        machine.recorded = True
+                        self.replan = True
+        for task, attempt, machine in batch.claims:
+            # A claim withdrawn and made anew meanwhile is not the one that was written.
+            if task.phase is Phase.CLAIMED and task.attempt == attempt and task.machine is machine:
+                task.phase = Phase.PLACED
+                self.to_send.add(machine)
+                if task.job.kind is Kind.GANG:
+                    self.to_send.update(t.machine for t in task.job.tasks.values() if t.machine)
+        for job in (*batch.finished, *batch.cleaned):
+            self.drop_job(job)
+
+    def put_back(self, batch: Batch) -> None:
+        """The transaction was refused or given up for good: its contents are to be written anew."""
+        self.in_flight = set()
+        for job in batch.finished:
+            self.to_finish[job] = None
+        for job in batch.cleaned:
+            self.to_clean[job] = None
+        finished_keys = {k for job in (*batch.finished, *batch.cleaned) for k in self._job_keys(job)}
+        claimed = {chunk_key(t.job.ref, t.index // CHUNK_TASKS) for t, _, _ in batch.claims}
+        for key in batch.sets:
+            if not key.startswith(JOBS):
+                (self.urgent if key in claimed else self.dirty)[key] = None
+        for key in batch.drops:
+            if key.startswith(FLEET):
+                self.dirty[key] = None
+            elif key not in finished_keys:
+                self.orphans.append(key)
--- /dev/null
+++ b/oatport/control/fleet.py
@@ -0,0 +1,235 @@
+"""Which machines to rent and to return."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+
+from oatport import wire
+from oatport.control.cluster import Cluster
+from oatport.control.model import Job, Kind, Machine, allowed_types, fit_count
+from oatport.control.placer import zone_cap
+from oatport.control.router import OWNED, SPOT
+from oatport.times import SECOND, micros
+
+log = logging.getLogger(__name__)
+
+BATCH_MOST = 50  # machines in one rental (PROTOCOL, POST /hosts)
+RELEASE_MOST = 100
+REFUSED_PAUSE = 8 * SECOND
+
+
+@dataclass(slots=True)
+class Rental:
+    type: str
+    zone: str
+    spot: bool
+    count: int
+
+
+@dataclass(slots=True)
+class _Room:
+    """Room that is coming: a booting machine, or one about to be rented."""
+
+    type: wire.MachineType
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory: float
+
+    def take(self, spec: wire.Submission, most: int) -> int:
+        count = int((self.cpus + 1e-9) // spec.cpus)
+        if spec.gpus > 0:
+            count = min(count, int((self.gpus + 1e-9) // spec.gpus))
+        if spec.memory_gb > 0:
+            count = min(count, int((self.memory + 1e-9) // spec.memory_gb))
+        count = max(0, min(count, most))
+        self.cpus -= count * spec.cpus
+        self.gpus -= count * spec.gpus
+        self.memory -= count * spec.memory_gb
+        return count
+
+
+@dataclass(slots=True)
+class Fleet:
+    cluster: Cluster
+    refused: dict[tuple[str, str, bool], int] = field(default_factory=dict)  # until when not to ask again
+    under_way: list[Rental] = field(default_factory=list)  # asked for, not answered
+
+    def refuse(self, rental: Rental, now: int) -> None:
+        self.refused[(rental.type, rental.zone, rental.spot)] = now + REFUSED_PAUSE
+
+    # --- renting ----------------------------------------------------------------------------
+
+    def wanted(self, now: int) -> list[Rental]:
+        """Rentals that fit the waiting tasks of each tier, beyond what is coming already."""
+        cluster = self.cluster
+        coming = self._coming(now)
+        freeing = self._freeing(now)
+        planned: dict[tuple[str, str, bool], int] = {}
+        for job in sorted(cluster.waiting, key=lambda j: (j.rank, j.deadline or j.submitted_at)):
+            if job.tier == OWNED or job.not_before > now or not job.tier:
+                continue
+            self._cover(job, coming, freeing, planned, now)
+        rentals = []
+        for (type_name, zone, spot), count in planned.items():
+            while count > 0:
+                rentals.append(Rental(type_name, zone, spot, min(count, BATCH_MOST)))
+                count -= BATCH_MOST
+        return rentals
+
+    def _coming(self, now: int) -> list[_Room]:
+        cluster = self.cluster
+        rooms = []
+        for machine in cluster.machines.values():
+            if machine.up_at or machine.was_up or machine.releasing or machine.draining:
+                continue
+            # One that is long overdue is not counted on any more.
+            if now - machine.rented_at < 2 * micros(machine.type.boot_s) + 5 * SECOND:
+                rooms.append(self._room(machine.type, machine.zone, machine.spot))
+        for rental in self.under_way:
+            for _ in range(rental.count):
+                rooms.append(self._room(cluster.types[rental.type], rental.zone, rental.spot))
+        return rooms
+
+    @staticmethod
+    def _room(kind: wire.MachineType, zone: str, spot: bool) -> _Room:
+        return _Room(kind, zone, spot, kind.cpus, kind.gpus, kind.memory_gb)
+
+    def _freeing(self, now: int) -> list[float]:
+        """CPUs that running tasks are predicted to free before a rented machine could be up."""
+        cluster = self.cluster
+        boot = min((micros(t.boot_s) for t in cluster.types.values()), default=30 * SECOND)
+        cpus = 0.0
+        for machine in cluster.usable_now:
+            for task in machine.tasks:
+                job = task.job
+                if job.kind is Kind.SERVICE or not task.running_since or job.spec.gpus:
+                    continue
+                left = cluster.predictor.run_time(job.ref, job.spec) - (now - task.running_since)
+                if left < boot:
+                    cpus += job.spec.cpus
+        return [cpus]
+
+    def _cover(
+        self, job: Job, coming: list[_Room], freeing: list[float],
+        planned: dict[tuple[str, str, bool], int], now: int,
+    ) -> None:
+        cluster, spec = self.cluster, job.spec
+        use = cluster.teams.get(spec.team)
+        left = min(job.pending, use.room(spec) if use else 0)
+        if job.kind is Kind.GANG and left < job.pending:
+            return
+        zones = dict(job.zones)
+        cap = zone_cap(spec)
+        only_zone = next(iter(zones)) if spec.one_zone and zones else spec.zone
+        spot = job.tier == SPOT
+        if job.kind is Kind.ARRAY and not spec.gpus:
+            absorbed = min(left, int(freeing[0] // spec.cpus))
+            freeing[0] -= absorbed * spec.cpus
+            left -= absorbed
+        for room in coming:
+            if left <= 0:
+                return
+            if (room.spot and not spot) or (only_zone and room.zone != only_zone):
+                continue
+            if spec.types is not None and room.type.name not in spec.types:
+                continue
+            most = min(left, cap - zones.get(room.zone, 0)) if spec.spread else left
+            got = room.take(spec, most)
+            if got:
+                left -= got
+                zones[room.zone] = zones.get(room.zone, 0) + got
+                if spec.one_zone:
+                    only_zone = room.zone
+        while left > 0:
+            option = self._option(job, left, zones, cap, only_zone, spot, now)
+            if option is None:
+                return
+            kind, zone = option
+            room = self._room(kind, zone, spot)
+            most = min(left, cap - zones.get(zone, 0)) if spec.spread else left
+            got = room.take(spec, most)
+            if got <= 0:
+                return
+            left -= got
+            zones[zone] = zones.get(zone, 0) + got
+            if spec.one_zone:
+                only_zone = zone
+            coming.append(room)
+            key = (kind.name, zone, spot)
+            planned[key] = planned.get(key, 0) + 1
+
+    def _option(
+        self, job: Job, left: int, zones: dict[str, int], cap: int, only_zone: str | None, spot: bool, now: int
+    ) -> tuple[wire.MachineType, str] | None:
+        """The type and zone whose room costs least for this many tasks, boot time included."""
+        spec = job.spec
+        predicted = max(self.cluster.predictor.run_time(job.ref, spec), 10 * SECOND)
+        best: tuple[wire.MachineType, str] | None = None
+        best_key: tuple[float, float] | None = None
+        for kind in allowed_types(spec, self.cluster.types):
+            count = min(fit_count(kind, spec), left)
+            # What the machine could hold counts for a part: later work fills the rest.
+            useful = count + 0.7 * (fit_count(kind, spec) - count)
+            price = kind.spot_price if spot else kind.price
+            cost = price * (predicted + micros(kind.boot_s)) / predicted / useful
+            for zone in kind.zones:
+                if only_zone and zone != only_zone:
+                    continue
+                if spec.spread and zones.get(zone, 0) >= cap:
+                    continue
+                if self.refused.get((kind.name, zone, spot), 0) > now:
+                    continue
+                key = (cost, zones.get(zone, 0) if job.kind is Kind.SERVICE else self._share(kind, zone, spot))
+                if best_key is None or key < best_key:
+                    best, best_key = (kind, zone), key
+        return best
+
+    def _share(self, kind: wire.MachineType, zone: str, spot: bool) -> float:
+        """Machines of this sort in a zone: a wave confined to one zone should not take all."""
+        return sum(
+            1 for m in self.cluster.machines.values() if m.zone == zone and m.type is kind and m.spot == spot
+        )
+
+    # --- returning --------------------------------------------------------------------------
+
+    def to_release(self, now: int) -> list[Machine]:
+        """Idle, faulty and never-booting machines; nothing is placed on them from here on."""
+        cluster, tuning = self.cluster, self.cluster.tuning
+        chosen: list[Machine] = []
+        spare = self._spare()
+        for machine in cluster.machines.values():
+            if machine.releasing:
+                chosen.append(machine)  # asked before without an answer
+                continue
+            if machine.tasks or machine.strays:
+                continue
+            if not machine.up_at:
+                patience = micros(machine.type.boot_s * tuning.boot_patience)
+                if now - machine.rented_at < patience or (machine.was_up and not machine.listed):
+                    continue
+            elif machine.draining or (machine.slow_count >= 3 and machine.slow > 2.5):
+                pass
+            elif machine.idle_since and now - machine.idle_since > tuning.us("idle_s"):
+                if not machine.spot and not machine.taken_at:
+                    if spare - machine.type.cpus < self._warm_cpus():
+                        continue
+                    spare -= machine.type.cpus
+            else:
+                continue
+            machine.releasing = True
+            chosen.append(machine)
+        return chosen[:RELEASE_MOST]
+
+    def _spare(self) -> float:
+        return sum(m.free_cpus for m in self.cluster.usable_now if not m.spot)
+
+    def _warm_cpus(self) -> float:
+        """Owned room kept for services to come, so that they start at once."""
+        used = sum(
+            j.spec.cpus * j.on_machines for j in self.cluster.jobs.values() if j.kind is Kind.SERVICE
+        )
+        return self.cluster.tuning.warm_share * used
+
--- /dev/null
+++ b/oatport/control/model.py
@@ -0,0 +1,250 @@
+"""Jobs, tasks and machines as the leader sees them."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
+from typing import Any
+
+import msgspec
+
+from oatport import wire
+from oatport.times import micros
+
+CHUNK_TASKS = 100  # tasks in one record; at about 30 bytes each well below the smallest value limit
+
+PRIORITIES = {"production": 0, "high": 1, "normal": 2, "idle": 3}
+
+
+class Kind(StrEnum):
+    ARRAY = "array"
+    GANG = "gang"
+    SERVICE = "standing"
+
+
+class Phase(IntEnum):
+    PENDING = 0  # on no machine, wants one
+    CLAIMED = 1  # a machine is chosen, the commit is not known to be applied: no start was sent
+    PLACED = 2  # committed: on its machine until proven gone
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """A task that was touched and is not done. Untouched and done ones are just numbers in their job."""
+
+    job: Job
+    index: int
+    phase: Phase = Phase.PENDING
+    attempt: int = 0
+    machine: Machine | None = None
+    # Session under which this leader first sent the start; 0: not sent by this leader.
+    sent_session: int = 0
+    # The (session, seq) of an answer of the worker's to a start of this attempt.
+    acked: tuple[int, int] | None = None
+    status: str = ""  # as last reported
+    claimed_at: int = 0
+    running_since: int = 0
+    # Set when the task is to leave its machine: grace in seconds, and when the first stop was sent.
+    stopping: float | None = None
+    stop_sent: int = 0
+    repeat_start_at: int = 0
+
+    @property
+    def name(self) -> str:
+        return f"{self.job.ref}/{self.index}"
+
+    def to_pending(self) -> None:
+        self.phase = Phase.PENDING
+        self.machine = None
+        self.sent_session = 0
+        self.acked = None
+        self.status = ""
+        self.running_since = 0
+        self.stopping = None
+        self.stop_sent = 0
+        self.repeat_start_at = 0
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    ref: str
+    spec: wire.Submission
+    version: int  # of jobs/REF, the condition of every start commit
+    submitted_at: int  # time of day, since it must mean the same on the next leader
+    kind: Kind = field(init=False)
+    rank: int = field(init=False)
+    cancelled: bool = False
+    tasks: dict[int, Task] = field(default_factory=dict)
+    fresh: int = 0  # tasks from here on were never touched
+    again: deque[int] = field(default_factory=deque)  # touched and pending
+    done: set[int] = field(default_factory=set)
+    on_machines: int = 0  # claimed or placed
+    gang_attempt: int = 0
+    lost: int = 0  # take-backs and losses suffered: the retry count
+    tier: str = ""  # what the router decided last
+    not_before: int = 0  # backing off after errors (steady)
+    errors: int = 0
+    error_machines: set[str] = field(default_factory=set)
+    zones: dict[str, int] = field(default_factory=dict)  # tasks on machines, by zone
+    finishing: bool = False  # its end is being committed
+    strays: int = 0  # attempts of it seen where no record puts them: nothing is placed meanwhile
+    preempt_after: int = 0  # steady; one round of preemption at a time
+
+    def __post_init__(self) -> None:
+        self.kind = Kind(self.spec.kind)
+        self.rank = PRIORITIES[self.spec.priority]
+
+    @property
+    def pending(self) -> int:
+        return self.spec.tasks - self.fresh + len(self.again)
+
+    @property
+    def deadline(self) -> int | None:
+        """Time of day by which it should be complete."""
+        return None if self.spec.deadline_s is None else self.submitted_at + micros(self.spec.deadline_s)
+
+    def next_pending(self) -> int | None:
+        if self.again:
+            return self.again[0]
+        return self.fresh if self.fresh < self.spec.tasks else None
+
+    def take_pending(self) -> Task:
+        """Remove the first pending task from the queue; the caller claims it."""
+        if self.again:
+            return self.tasks[self.again.popleft()]
+        task = Task(self, self.fresh)
+        self.tasks[self.fresh] = task
+        self.fresh += 1
+        return task
+
+    def chunk_value(self, chunk: int) -> dict[str, Any]:
+        """The record of one chunk of tasks: -1 done, 0 untouched, [attempt] pending, [attempt, machine]."""
+        low = chunk * CHUNK_TASKS
+        rows: list[Any] = []
+        for index in range(low, min(low + CHUNK_TASKS, self.spec.tasks)):
+            if index in self.done:
+                rows.append(-1)
+                continue
+            task = self.tasks.get(index)
+            if task is None:
+                rows.append(0)
+            elif task.machine is None:
+                rows.append([task.attempt])
+            else:
+                rows.append([task.attempt, task.machine.name])
+        while rows and rows[-1] == 0:
+            rows.pop()
+        value: dict[str, Any] = {"t": rows}
+        if chunk == 0:
+            value["tier"], value["lost"] = self.tier, self.lost
+        return value
+
+    def record(self, state: str) -> dict[str, Any]:
+        """The value of jobs/REF."""
+        return job_record(self.spec, self.submitted_at, state)
+
+
+def job_record(spec: wire.Submission, submitted_at: int, state: str) -> dict[str, Any]:
+    return {"state": state, "at": submitted_at, "job": msgspec.to_builtins(spec)}
+
+
+def split_task(name: str) -> tuple[str, int] | None:
+    """`REF/3` as (REF, 3)."""
+    ref, _, index = name.rpartition("/")
+    return (ref, int(index)) if ref and index.isdigit() else None
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    type: wire.MachineType
+    zone: str
+    spot: bool
+    address: str = ""
+    rented_at: int = 0  # steady
+    rented_wall: int = 0  # time of day, for the next leader
+    up_at: int = 0  # first report seen by this leader; 0: never
+    was_up: bool = False  # a record says that it was up under an earlier leader
+    session: int = 0
+    seq: int = -1
+    token: int = 0  # as in the newest report
+    heard_at: int = 0
+    known_since: int = 0  # steady; when this leader first knew of it
+    taken_at: int = 0  # when the cloud takes it back; 0: no notice
+    tasks: set[Task] = field(default_factory=set)
+    # Live tasks in its newest report that no record puts here, and what they take.
+    strays: dict[tuple[str, int], tuple[float, float, float]] = field(default_factory=dict)
+    # Ended attempts still in the worker's reports.
+    ended: set[tuple[str, int]] = field(default_factory=set)
+    # Attempts with sent starts whose fate is unknown, and how many: one may still land, so the
+    # attempt is not forgotten (a start after a `forget` would start it again).
+    unanswered: dict[tuple[str, int], int] = field(default_factory=dict)
+    images: dict[str, int] = field(default_factory=dict)  # image -> last use
+    free_cpus: float = 0.0
+    free_gpus: float = 0.0
+    free_memory: float = 0.0
+    idle_since: int = 0
+    draining: bool = False  # takes no more tasks
+    releasing: bool = False
+    faults: set[str] = field(default_factory=set)  # jobs that ended with an error here
+    slow: float = 1.0  # observed run time over the predicted one
+    slow_count: int = 0
+    listed: bool = False
+    probing: bool = False
+    probed_at: int = 0
+    recorded: bool = False  # the fleet record holds it: tasks may be placed
+    blocked_until: int = 0  # it refused a start for want of room: our view of it is off
+    gone: bool = False
+
+    def __post_init__(self) -> None:
+        self.free_cpus, self.free_gpus = self.type.cpus, self.type.gpus
+        self.free_memory = self.type.memory_gb
+
+    def fits(self, spec: wire.Submission) -> bool:
+        return (
+            spec.cpus <= self.free_cpus + 1e-9
+            and spec.gpus <= self.free_gpus + 1e-9
+            and spec.memory_gb <= self.free_memory + 1e-9
+        )
+
+    def take(self, cpus: float, gpus: float, memory: float) -> None:
+        self.free_cpus -= cpus
+        self.free_gpus -= gpus
+        self.free_memory -= memory
+
+    def give(self, cpus: float, gpus: float, memory: float) -> None:
+        self.take(-cpus, -gpus, -memory)
+
+    def confirmed(self, token: int) -> bool:
+        """Its newest report is under our token: what it does not list is not there."""
+        return self.up_at > 0 and self.token == token
+
+    def usable(self, token: int, now: int, fresh_us: int) -> bool:
+        return (
+            self.recorded and self.token == token and self.up_at > 0 and not self.draining and not self.releasing
+            and not self.taken_at and now - self.heard_at <= fresh_us and now >= self.blocked_until
+        )
+
+    @property
+    def price(self) -> float:
+        return self.type.spot_price if self.spot else self.type.price
+
+
+def fit_count(kind: wire.MachineType, spec: wire.Submission) -> int:
+    """How many tasks of a job an empty machine of a type holds."""
+    count = int((kind.cpus + 1e-9) // spec.cpus)
+    if spec.gpus > 0:
+        count = min(count, int((kind.gpus + 1e-9) // spec.gpus))
+    if spec.memory_gb > 0:
+        count = min(count, int((kind.memory_gb + 1e-9) // spec.memory_gb))
+    return count
+
+
+def allowed_types(spec: wire.Submission, types: dict[str, wire.MachineType]) -> list[wire.MachineType]:
+    return [
+        kind for kind in types.values()
+        if (spec.types is None or kind.name in spec.types)
+        and (spec.zone is None or spec.zone in kind.zones)
+        and fit_count(kind, spec) > 0
+    ]
--- /dev/null
+++ b/oatport/control/predictor.py
@@ -0,0 +1,94 @@
+"""Predicted run times: the mean of finished tasks of a kind, seeded by the owner's estimate.
+
+DESIGN, "Tiers by length". A kind is a job's class; what is learnt is how far the class's
+estimates are off, so that a job's own estimate still tells long jobs from short ones.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import deque
+from typing import Any
+
+from oatport import wire
+from oatport.times import SECOND, micros
+
+SEED_WEIGHT = 5.0  # how many finished tasks the owner's estimate is worth
+MEMORY = 200  # old tasks fade, so that a day of too high estimates is followed
+
+
+class Predictor:
+    def __init__(self) -> None:
+        self._ratio: dict[str, tuple[float, float]] = {}  # class -> (weight, sum of actual/estimate)
+        self._job: dict[str, tuple[int, int]] = {}  # job -> (tasks, sum of run times)
+        self._recent: deque[int] = deque(maxlen=MEMORY)
+        self._lives: deque[tuple[int, bool]] = deque(maxlen=MEMORY)  # spot: (time held, taken back?)
+        self.changed = False
+
+    def finished(self, ref: str, spec: wire.Submission, took: int) -> None:
+        """A task ran from start to end in `took`."""
+        self.changed = True
+        self._recent.append(took)
+        count, total = self._job.get(ref, (0, 0))
+        self._job[ref] = (count + 1, total + took)
+        estimate = micros(spec.estimate_s)
+        if estimate <= 0:
+            return
+        weight, total_ratio = self._ratio.get(spec.job_class, (0.0, 0.0))
+        if weight >= MEMORY:
+            weight, total_ratio = weight * 0.9, total_ratio * 0.9
+        self._ratio[spec.job_class] = (weight + 1, total_ratio + min(took / estimate, 20.0))
+
+    def forget_job(self, ref: str) -> None:
+        self._job.pop(ref, None)
+
+    def run_time(self, ref: str, spec: wire.Submission) -> int:
+        """Predicted run time of one task of a job."""
+        weight, total = self._ratio.get(spec.job_class, (0.0, 0.0))
+        guess = micros(spec.estimate_s) * (total + SEED_WEIGHT) / (weight + SEED_WEIGHT)
+        count, own = self._job.get(ref, (0, 0))
+        # Tasks of the same job tell more than other jobs of its class.
+        return round((guess * 2 + own) / (2 + count)) if count else round(guess)
+
+    def spot_held(self, held: int, taken: bool) -> None:
+        """A rented spot machine ended: taken back, or returned by us (a survivor)."""
+        self.changed = True
+        self._lives.append((held, taken))
+
+    def percentile_run(self, share: float) -> int | None:
+        if len(self._recent) < 10:
+            return None
+        ordered = sorted(self._recent)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+    def half_life(self, alive: list[int]) -> int | None:
+        """Time by which half of the rented spot machines were taken back, counting survivors.
+
+        Kaplan and Meier's estimate; None while fewer than half are known to be lost at any time.
+        """
+        held = sorted([life for life, _ in self._lives] + alive)
+        survival = 1.0
+        for life in sorted(life for life, taken in self._lives if taken):
+            at_risk = len(held) - bisect.bisect_left(held, life)
+            survival *= 1 - 1 / max(at_risk, 1)
+            if survival <= 0.5:
+                return life
+        return None
+
+    def record(self) -> dict[str, Any]:
+        """What the next leader should know, small enough for one value."""
+        ratios = sorted(self._ratio.items(), key=lambda item: -item[1][0])[:40]
+        return {
+            "ratio": [[name, round(weight, 3), round(total, 3)] for name, (weight, total) in ratios],
+            "recent": [took // (SECOND // 10) for took in list(self._recent)[-60:]],
+            "lives": [[held // SECOND, taken] for held, taken in list(self._lives)[-60:]],
+        }
+
+    def load(self, value: Any) -> None:
+        try:
+            self._ratio = {str(n): (float(w), float(t)) for n, w, t in value["ratio"]}
+            self._recent.extend(int(tenths) * (SECOND // 10) for tenths in value["recent"])
+            self._lives.extend((int(held) * SECOND, bool(taken)) for held, taken in value["lives"])
+        except (KeyError, TypeError, ValueError):
+            # A record of another version: learn anew rather than fail a takeover.
+            self._ratio = {}
--- /dev/null
+++ b/oatport/control/recovery.py
@@ -0,0 +1,154 @@
+"""Taking over from records, outages, and the verdict on silent machines."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from oatport import wire
+from oatport.control.cluster import (
+    CANCEL_MARK,
+    FLEET,
+    LIVE,
+    MODEL_KEY,
+    Cluster,
+    cancel_key,
+    chunk_key,
+    live_key,
+)
+from oatport.control.model import CHUNK_TASKS, Job, Machine, Phase, Task
+from oatport.settings import ClusterSettings
+from oatport.times import SECOND, micros, with_drift
+
+log = logging.getLogger(__name__)
+
+
+def read_job(value: Any) -> tuple[wire.Submission, int, str]:
+    """The value of jobs/REF or live/REF: job, time of submission, state."""
+    spec = msgspec.convert(value["job"], wire.Submission, strict=False)
+    return spec, int(value["at"]), str(value["state"])
+
+
+def load(cluster: Cluster, rows: list[dict[str, Any]], now: int, wall: int) -> None:
+    """Fill a new leader's view from the records under live/ and fleet/, and the model.
+
+    What a record says is on a machine is taken as there, whatever the machine itself says later
+    under an older token; a report under ours confirms or removes it.
+    """
+    chunks: dict[str, list[tuple[int, Any]]] = {}
+    cancelled: dict[str, int] = {}
+    for row in rows:
+        key, value, version = row["path"], row["value"], row["entryRev"]
+        cluster.versions[key] = version
+        if key == MODEL_KEY:
+            cluster.predictor.load(value)
+        elif key.startswith(FLEET):
+            for name, type_name, zone, spot, address, rented, was_up in value["m"]:
+                machine = cluster.add_machine(
+                    name, type_name, zone, spot, address, now, wall, max(0, wall - rented)
+                )
+                if machine is not None:
+                    machine.recorded, machine.was_up = True, was_up
+                else:
+                    cluster.dirty[key] = None
+        elif key.startswith(LIVE):
+            ref, _, part = key[len(LIVE):].partition("/")
+            if not part:
+                spec, at, _ = read_job(value)
+                cluster.add_job(ref, spec, version, at)
+            elif part == CANCEL_MARK:
+                cancelled[ref] = version
+            else:
+                chunks.setdefault(ref, []).append((int(part), value))
+    cluster.dirty.clear()  # what was just read is not to be written back
+    for ref, parts in chunks.items():
+        job = cluster.jobs.get(ref)
+        if job is None:
+            # Its head went with its end, which the keys outlived: a large job dropped in parts.
+            cluster.orphans += [chunk_key(ref, number) for number, _ in parts]
+            continue
+        for number, value in parts:
+            _load_chunk(cluster, job, number, value)
+        job.again = deque(sorted(i for i, t in job.tasks.items() if t.phase is Phase.PENDING))
+    for ref, version in cancelled.items():
+        if ref in cluster.jobs:
+            cluster.cancel_job(ref, version)
+        else:
+            cluster.orphans.append(cancel_key(ref))
+    for job in cluster.jobs.values():
+        if not job.pending:
+            cluster.waiting.discard(job)
+        if len(job.done) >= job.spec.tasks and not job.cancelled:
+            job.finishing = True
+            cluster.to_finish[job] = None
+        assert live_key(job.ref) in cluster.versions
+
+
+def _load_chunk(cluster: Cluster, job: Job, number: int, value: Any) -> None:
+    low = number * CHUNK_TASKS
+    if number == 0:
+        job.tier, job.lost = str(value.get("tier", "")), int(value.get("lost", 0))
+    rows = value["t"]
+    # Tasks between the known ones were never touched but are below the mark now.
+    while job.fresh < low + len(rows):
+        index = job.fresh
+        job.fresh += 1
+        job.tasks[index] = Task(job, index)
+    for offset, row in enumerate(rows):
+        index = low + offset
+        task = job.tasks[index]
+        if row == -1:
+            del job.tasks[index]
+            job.done.add(index)
+        elif row:
+            task.attempt = int(row[0])
+            job.gang_attempt = max(job.gang_attempt, task.attempt)
+            if len(row) > 1:
+                machine = cluster.machines.get(row[1])
+                if machine is None:
+                    # The fleet record is written no later than the first claim on a machine and kept
+                    # until the machine is proven gone: so the task's machine is.
+                    cluster.touch(task)
+                    continue
+                task.phase = Phase.PLACED
+                cluster.assign(task, machine)
+
+
+@dataclass(slots=True)
+class OutageClock:
+    """How long a leader cut off from the state service may keep its workers' leases alive.
+
+    A cancellation may be told by another node at any moment; its tasks must be gone `cancel_s`
+    later, and a worker that hears nothing more kills them after `lease_s`.
+    """
+
+    settings: ClusterSettings
+    known_at: int  # all cancellations told up to then are known here (steady)
+
+    @property
+    def until(self) -> int:
+        """Reports are answered up to here."""
+        workers = self.settings.workers
+        margin = 2 * SECOND + micros(2 * workers.report_s)
+        return self.known_at + with_drift(micros(workers.cancel_s - workers.lease_s)) - margin
+
+    def known(self, asked_at: int) -> None:
+        self.known_at = max(self.known_at, asked_at)
+
+
+def silent(machines: list[Machine], now: int, silent_us: int) -> list[Machine]:
+    """Machines that were up and have not been heard of for a while."""
+    return [
+        m for m in machines
+        if not m.releasing and (m.up_at or m.was_up) and now - max(m.heard_at, m.known_since) > silent_us
+    ]
+
+
+def cut_off(silent_count: int, machines: list[Machine]) -> bool:
+    """Many silent at once: it is rather I who am cut off."""
+    up = sum(1 for m in machines if m.up_at or m.was_up)
+    return silent_count >= 3 and silent_count * 3 >= up
--- /dev/null
+++ b/oatport/service/__init__.py
@@ -0,0 +1,1 @@
+"""Lifecycle of a node: leadership, group commit, outages."""
--- /dev/null
+++ b/oatport/service/node.py
@@ -0,0 +1,390 @@
+"""A controller node: serves users, follows or leads, and hands over when another is better placed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from typing import Any
+
+from oatport import wire
+from oatport.api.peers import Message, Peers
+from oatport.api.server import Answer, BodyReader, Server
+from oatport.api.users import Users
+from oatport.api.workers import handle_report
+from oatport.clients.http import NoAnswer, Refused, jitter, make_session
+from oatport.clients.peer import PeerClient
+from oatport.clients.state import Applied, NoLease, StateClient
+from oatport.clients.worker import WorkerClient
+from oatport.control.cluster import CATALOG_KEY, LEADER_KEY
+from oatport.service.lead import Lead
+from oatport.service.tasks import TaskGroup
+from oatport.settings import Settings, Tuning
+from oatport.times import MS, SECOND, micros, seconds, steady
+
+log = logging.getLogger(__name__)
+
+PING_EVERY = 700 * MS
+SERVED_FRESH = 2 * SECOND
+STAND_BACK = 6 * SECOND  # after giving the lead up, let others take it
+
+
+class Node:
+    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+        self.settings = settings
+        self.tuning = tuning
+        self.node_name = settings.node_name
+        self.boot = secrets.token_hex(6)  # tells this process from an earlier one of the same name
+        self.types: dict[str, wire.MachineType] = {}
+        self.display: dict[str, tuple[int, int]] = {}
+        self.peers: dict[str, PeerClient] = {}
+        self.group = TaskGroup()
+        self.lead: Lead | None = None
+        self.started = steady()
+        self._leader: str | None = None
+        self._leader_token = 0
+        self._lease_us = tuning.us("leader_lease_s")
+        self._stand_back_until = 0
+        self._take_from = 0  # token of a leader that handed over to this node
+        self._election = asyncio.Event()
+        self._cancel_told_at = 0
+        self._peer_served: dict[str, tuple[bool, int]] = {}  # peer -> (served, as of)
+        self._ever_served = False
+
+    # --- lifecycle --------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        self._session = make_session(self.settings.cluster.resources.sockets)
+        self.state = StateClient(self._session, self.settings.services.state)
+        self.users = Users(self.settings, self.state, self)
+        for peer in self.settings.peers:
+            self.peers[peer.node_name] = PeerClient(self._session, peer.node_name, peer.endpoint)
+        inside = Peers()
+        for tag, handler in (
+            ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
+            ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
+        ):
+            inside.on(tag, handler)
+        servers = [
+            Server(self.settings.internal_addr, inside.handle, body_limit=1024 * 1024),
+            Server(self.settings.bind, self._handle),
+        ]
+        for server in servers:
+            await server.start()
+        log.info("node %s in %s serves on %s", self.node_name, self.settings.zone, self.settings.bind)
+        self.group.keep("election", self._election_loop)
+        self.group.keep("leader watch", self._leader_watch)
+        self.group.keep("catalog", self._catalog_loop)
+        self.group.keep("contact", self._contact_loop)
+        for name, client in self.peers.items():
+            self.group.keep(f"ping {name}", lambda client=client: self._ping_loop(client))  # type: ignore[misc]
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.lost_lead("shutting down")
+            self.group.close()
+            for server in servers:
+                await server.close()
+            await self._session.close()
+
+    async def _handle(self, method: str, path: str, body: BodyReader) -> Answer:
+        if path == wire.REPORT:
+            return await handle_report(self, method, body)
+        return await self.users.handle(method, path, body)
+
+    # --- reports ----------------------------------------------------------------------------
+
+    def take_report(self, report: wire.Report) -> dict[str, Any] | None:
+        return self.lead.take_report(report) if self.lead is not None else None
+
+    def leader_name(self) -> str | None:
+        return self._leader
+
+    # --- users ------------------------------------------------------------------------------
+
+    def served(self) -> bool:
+        """The state service answers this node."""
+        return self.state.ok_at > 0 and (
+            steady() - self.state.ok_at < SERVED_FRESH or self.state.failed_at <= self.state.ok_at
+        )
+
+    def ready(self) -> bool:
+        """Not ready only if another node is better placed: in an outage for all, staying costs least."""
+        if self.served():
+            self._ever_served = True
+            return True
+        if not self._ever_served:
+            return False
+        now = steady()
+        return not any(served and now - at < 3 * SECOND for served, at in self._peer_served.values())
+
+    def tell_accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
+        self._tell_leader("accepted", ref, record, revision)
+
+    def tell_cancelled(self, ref: str, revision: int) -> None:
+        self._cancel_told_at = steady()
+        self._tell_leader("cancelled", ref, None, revision)
+
+    def _tell_leader(self, tag: str, ref: str, value: Any, revision: int) -> None:
+        """Only a hint that saves time: the leader also watches the records."""
+        if self.lead is not None:
+            self.lead.told(tag, ref, value, revision)
+            return
+        peer = self.peers.get(self._leader or "")
+        if peer is not None:
+            self.group.once("tell", _ask_quietly(peer, tag, ref, value, revision))
+
+    # --- peers ------------------------------------------------------------------------------
+
+    async def _on_ping(self, message: Message) -> Message:
+        _, name, leader, token, served = message
+        self._learn_leader(str(leader) if leader else None, int(token))
+        self._peer_served[str(name)] = (bool(served), steady())
+        return self._pong()
+
+    def _pong(self) -> Message:
+        now = steady()
+        quiet = min(now - self._cancel_told_at if self._cancel_told_at else now, now - self.started)
+        return ["pong", self.node_name, self._leader, self._leader_token, self.served(), quiet]
+
+    def _learn_leader(self, name: str | None, token: int) -> None:
+        if token > self._leader_token:
+            self._leader, self._leader_token = name, token
+            if self.lead is not None and token > self.lead.token:
+                self.lost_lead(f"{name} leads with token {token}")
+        elif token == self._leader_token and name is None:
+            pass
+
+    async def _on_told(self, message: Message) -> Message:
+        tag, ref, value, revision = message
+        if self.lead is not None:
+            self.lead.told(str(tag), str(ref), value, int(revision))
+        return ["ok"]
+
+    async def _on_display(self, message: Message) -> Message:
+        for ref, (done, running) in message[1].items():
+            self.display[str(ref)] = (int(done), int(running))
+        for ref in message[2]:
+            self.display.pop(ref, None)
+        return ["ok"]
+
+    async def _on_probe(self, message: Message) -> Message:
+        """Which of these workers can this node reach? And does the state service answer it?"""
+
+        async def reach(address: str) -> bool:
+            try:
+                await WorkerClient(self._session, address).show()
+            except NoAnswer:
+                return False
+            return True
+
+        seen = await asyncio.gather(*(reach(str(address)) for address in message[1][:50]))
+        return ["seen", sum(seen), self.served()]
+
+    async def _on_handover(self, message: Message) -> Message:
+        token = int(message[1])
+        if self.served() and steady() > self._stand_back_until:
+            self._take_from = max(self._take_from, token)
+            self._election.set()
+            return ["ok"]
+        return ["no"]
+
+    async def _ping_loop(self, peer: PeerClient) -> None:
+        while True:
+            lead = self.lead
+            try:
+                answer = await peer.ask("ping", self.node_name, self._leader, self._leader_token, self.served())
+                tag, name, leader, token, served, _ = answer
+                if tag == "pong":
+                    self._learn_leader(str(leader) if leader else None, int(token))
+                    self._peer_served[str(name)] = (bool(served), steady())
+                    if lead is self.lead and lead is not None and served and lead.state_down(steady()):
+                        await self._hand_over(lead, peer)
+            except (NoAnswer, ValueError, TypeError):
+                self._peer_served.pop(peer.name, None)
+            await asyncio.sleep(jitter(PING_EVERY))
+
+    async def _hand_over(self, lead: Lead, peer: PeerClient) -> None:
+        """Refused by the state service while a peer is served: that one can do more."""
+        answer = await peer.ask("handover", lead.token)
+        if answer[0] == "ok" and lead is self.lead:
+            self.lost_lead(f"handed over to {peer.name}, which the state service answers")
+
+    async def peer_served(self) -> str | None:
+        now = steady()
+        for name, (served, at) in self._peer_served.items():
+            if served and now - at < 2 * SECOND:
+                return name
+        return None
+
+    # --- contact with the state service ---------------------------------------------------------
+
+    async def _contact_loop(self) -> None:
+        """Know whether the state service answers; as the leader, renew the lease first of all."""
+        while True:
+            lead = self.lead
+            try:
+                if lead is not None:
+                    await self.state.touch(lead.lease, min(self._lease_us // 2, SECOND))
+                elif steady() - self.state.ok_at > SECOND:
+                    await self.state.get(LEADER_KEY)
+            except NoLease:
+                if lead is self.lead:
+                    self.lost_lead("the lease ended")
+            except (NoAnswer, Refused) as error:
+                log.debug("state service: %s", error)
+                if lead is not None and lead is self.lead and lead.state_down(steady()):
+                    await self._ask_outage(lead)
+                await asyncio.sleep(jitter(250 * MS))
+                continue
+            await asyncio.sleep(seconds(self._lease_us // 4 if lead is not None else 500 * MS))
+
+    async def _ask_outage(self, lead: Lead) -> None:
+        """In an outage for all, no cancellation can be told: the moment of knowledge moves on."""
+        asked = steady()
+        since = asked - lead.clock.known_at
+        answers = await asyncio.gather(
+            *(peer.ask("ping", self.node_name, self._leader, self._leader_token, False)
+              for peer in self.peers.values()),
+            return_exceptions=True,
+        )
+        for answer in answers:
+            if isinstance(answer, BaseException) or len(answer) != 6 or answer[0] != "pong":
+                return
+            # A node that was started since may have told one and forgotten it: its age counts too.
+            if answer[4] or not isinstance(answer[5], int) or answer[5] < since + since // 500 + SECOND:
+                return
+        if self._cancel_told_at > lead.clock.known_at:
+            return
+        lead.clock.known(asked)
+
+    # --- leadership -------------------------------------------------------------------------
+
+    def lost_lead(self, why: str) -> None:
+        lead, self.lead = self.lead, None
+        if lead is None:
+            return
+        log.warning("no longer leading: %s", why)
+        lead.close()
+        self._stand_back_until = steady() + STAND_BACK
+        if self._leader == self.node_name:
+            self._leader = None
+        if not self.group.closed:
+            self.group.once("give up", self._give_up(lead))
+
+    async def _give_up(self, lead: Lead) -> None:
+        """Free the leader key at once, so that nobody has to wait for the lease to end."""
+        try:
+            await self.state.commit({LEADER_KEY: lead.token}, {}, [LEADER_KEY])
+        except (NoAnswer, Refused, NoLease):
+            pass
+
+    async def _leader_watch(self) -> None:
+        """Follow the leader key."""
+        while True:
+            try:
+                found = await self.state.get(LEADER_KEY)
+                revision = self._see_leader(found)
+                while True:
+                    result = await self.state.changes(LEADER_KEY, revision, 5 * SECOND)
+                    if result is None:
+                        break
+                    revision, news = result
+                    for item in news:
+                        if item.get("set") == LEADER_KEY:
+                            self._see_leader((item["value"], int(item["entryRev"])))
+                        elif item.get("drop") == LEADER_KEY:
+                            self._see_leader(None)
+            except (NoAnswer, Refused):
+                await asyncio.sleep(jitter(300 * MS))
+
+    def _see_leader(self, found: tuple[Any, int] | None) -> int:
+        if found is None:
+            if self.lead is None:
+                self._leader = None
+                self._election.set()
+            return 0
+        value, version = found
+        if value.get("boot") == self.boot and self.lead is None and version > self._leader_token:
+            pass  # an unsure election of our own; the election loop reads it back
+        self._learn_leader(value.get("node"), version)
+        if value.get("node") == self.node_name and value.get("boot") != self.boot and self.lead is None:
+            # Left by an earlier process of this node's: no use waiting for its lease to end.
+            self._take_from = version
+            self._election.set()
+        return version
+
+    async def _election_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(1.0):
+                    await self._election.wait()
+            except TimeoutError:
+                pass
+            self._election.clear()
+            if self.lead is not None or steady() < self._stand_back_until:
+                continue
+            try:
+                await self._stand()
+            except (NoAnswer, Refused, NoLease) as error:
+                log.debug("election: %s", error)
+                await asyncio.sleep(jitter(200 * MS))
+
+    async def _stand(self) -> None:
+        """Become the leader if there is none, or if the one there is handed over."""
+        found = await self.state.get(LEADER_KEY)
+        version = 0
+        if found is not None:
+            self._learn_leader(found[0].get("node"), found[1])
+            if found[1] != self._take_from:
+                return
+            version = found[1]
+        lease = await self.state.hold(self._lease_us)
+        value = {"node": self.node_name, "boot": self.boot, "lease": lease}
+        token = 0
+        try:
+            result = await self.state.commit({LEADER_KEY: version}, {LEADER_KEY: value}, lease=lease)
+            if isinstance(result, Applied):
+                token = result.revision
+        except (NoAnswer, Refused):
+            # Unsure: read it back. A late one is conditioned on what it replaces.
+            found = await self.state.get(LEADER_KEY)
+            if found is not None and found[0].get("boot") == self.boot and found[0].get("lease") == lease:
+                token = found[1]
+        if not token:
+            return
+        self._take_from = 0
+        self._leader, self._leader_token = self.node_name, token
+        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease)
+        self.lead = lead
+        try:
+            await lead.take_over()
+        except (NoAnswer, Refused) as error:
+            if self.lead is lead:
+                self.lost_lead(f"could not load the records: {error}")
+                self._stand_back_until = steady() + SECOND
+        except Exception:
+            if self.lead is lead:
+                self.lost_lead("could not take over")
+            raise
+
+    # --- catalog ----------------------------------------------------------------------------
+
+    async def _catalog_loop(self) -> None:
+        while True:
+            try:
+                found = await self.state.get(CATALOG_KEY)
+                if found is not None:
+                    self.types = wire.catalog(found[0])
+            except (NoAnswer, Refused):
+                pass
+            await asyncio.sleep(jitter(20 * SECOND if self.types else micros(0.5)))
+
+
+async def _ask_quietly(peer: PeerClient, *message: Any) -> None:
+    for _ in range(2):
+        try:
+            await peer.ask(*message)
+            return
+        except NoAnswer:
+            await asyncio.sleep(jitter(100 * MS))
--- /dev/null
+++ b/oatport/service/tasks.py
@@ -0,0 +1,61 @@
+"""Background tasks: none fails unseen, and a failure of one does not end the others."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+
+class TaskGroup:
+    """A set of background tasks that end together."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.closed = False
+
+    def keep(self, name: str, loop: Callable[[], Awaitable[None]], pause_s: float = 0.5) -> None:
+        """Run a loop for as long as the group lives; if it fails, log that and start it again."""
+
+        async def run() -> None:
+            while not self.closed:
+                try:
+                    await loop()
+                    return
+                except asyncio.CancelledError:
+                    raise
+                except Exception:
+                    log.exception("%s failed, starting it again", name)
+                await asyncio.sleep(pause_s)
+
+        self._add(run())
+
+    def once(self, name: str, work: Coroutine[Any, Any, Any]) -> None:
+        """Run something in the background; a failure is logged."""
+
+        async def run() -> None:
+            try:
+                await work
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("%s failed", name)
+
+        if self.closed:
+            work.close()
+            return
+        self._add(run())
+
+    def _add(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        self.closed = True
+        for task in list(self._tasks):
+            if task is not asyncio.current_task():
+                task.cancel()
--- /dev/null
+++ b/run.py
@@ -0,0 +1,11 @@
+"""Start the program with the libraries that the build put under target/deps."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent / "target" / "deps"))
+
+from oatport.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
