--- a/oatport/clients/cloud.py
+++ b/oatport/clients/cloud.py
@@ -41,7 +41,7 @@
         if status != 200:
             raise Refused(status, value)
 
-    async def list(self) -> list[wire.Listed]:
+    async def list_all(self) -> list[wire.Listed]:
         rows: list[wire.Listed] = []
         after = ""
         while True:
--- a/oatport/clients/state.py
+++ b/oatport/clients/state.py
@@ -70,7 +70,7 @@
             raise Refused(status, value)
         return value["value"], int(value["entryRev"])
 
-    async def list(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+    async def list_all(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
         """All items under a prefix, and the revision of the oldest page."""
         rows: list[dict[str, Any]] = []
         after, revision = "", 0
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -99,8 +99,8 @@
     async def take_over(self) -> None:
         """Load what is recorded; reports confirm it."""
         rows: list[dict[str, Any]] = []
-        live, revision = await self.state.list(LIVE)
-        fleet, _ = await self.state.list(FLEET)
+        live, revision = await self.state.list_all(LIVE)
+        fleet, _ = await self.state.list_all(FLEET)
         model = await self.state.get(MODEL_KEY)
         if model is not None:
             rows.append({"path": MODEL_KEY, "value": model[0], "entryRev": model[1]})
@@ -539,7 +539,7 @@
         while not self.over:
             asked = steady()
             try:
-                rows = await self.cloud.list()
+                rows = await self.cloud.list_all()
             except (NoAnswer, Refused, wire.BadMessage) as error:
                 log.info("machine list: %s", error)
                 await asyncio.sleep(jitter(SECOND))
