--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -7,8 +7,7 @@
 
 from oatport import wire
 from oatport.control.cluster import Cluster
-from oatport.control.model import Job, Kind, Machine, allowed_types, fit_count
-from oatport.control.placer import zone_cap
+from oatport.control.model import Job, Kind, Machine, allowed_types, fit_count, zone_cap
 from oatport.control.router import OWNED, SPOT
 from oatport.times import SECOND, micros
 
@@ -60,6 +59,15 @@
     def refuse(self, rental: Rental, now: int) -> None:
         self.refused[(rental.type, rental.zone, rental.spot)] = now + REFUSED_PAUSE
 
+    def open(self, job: Job, spot: bool, now: int) -> bool:
+        """Some machine for this job is still to be had of this kind, as far as is known."""
+        return any(
+            self.refused.get((kind.name, zone, spot), 0) <= now
+            for kind in allowed_types(job.spec, self.cluster.types)
+            for zone in kind.zones
+            if job.spec.zone in (None, zone)
+        )
+
     # --- renting ----------------------------------------------------------------------------
 
     def wanted(self, now: int) -> list[Rental]:
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -241,6 +241,11 @@
     return count
 
 
+def zone_cap(spec: wire.Submission) -> int:
+    """How many of a job's tasks may be in one zone."""
+    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+
+
 def allowed_types(spec: wire.Submission, types: dict[str, wire.MachineType]) -> list[wire.MachineType]:
     return [
         kind for kind in types.values()
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -4,20 +4,15 @@
 
 from collections.abc import Iterator
 
-from oatport import wire
 from oatport.control.cluster import Cluster
-from oatport.control.model import Job, Kind, Machine, Phase, Task
+from oatport.control.fleet import Fleet
+from oatport.control.model import Job, Kind, Machine, Phase, Task, zone_cap
 from oatport.control.router import OWNED, SPOT
 from oatport.times import SECOND
 
 PREEMPT_PAUSE = 4 * SECOND
 
 
-def zone_cap(spec: wire.Submission) -> int:
-    """How many of a job's tasks may be in one zone."""
-    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
-
-
 def machine_allowed(job: Job, machine: Machine) -> bool:
     """Type, zone and kind of machine, given the job's other tasks at this moment (rule `wrong_place`)."""
     spec = job.spec
@@ -257,13 +252,15 @@
     return None if cpus <= 0 else round(work / cpus)
 
 
-def route_waiting(cluster: Cluster, now: int, wall: int) -> None:
+def route_waiting(cluster: Cluster, fleet: Fleet, now: int, wall: int) -> None:
     """Set the tier of every waiting job; a changed tier is recorded with its first chunk."""
     ahead = queue_wait(cluster, now)
     ages = [now - m.rented_at for m in cluster.machines.values() if m.spot and m.up_at]
     cluster.router.learn(ages)
     for job in cluster.waiting:
-        tier = cluster.router.route(job, wall, ahead)
+        tier = cluster.router.route(
+            job, wall, ahead, fleet.open(job, True, now), fleet.open(job, False, now)
+        )
         if tier != job.tier:
             job.tier = tier
             cluster.replan = True
--- a/oatport/control/predictor.py
+++ b/oatport/control/predictor.py
@@ -14,6 +14,7 @@
 from oatport.times import SECOND, micros
 
 SEED_WEIGHT = 5.0  # how many finished tasks the owner's estimate is worth
+FEW_TAKEN = 4
 MEMORY = 200  # old tasks fade, so that a day of too high estimates is followed
 
 
@@ -66,6 +67,8 @@
 
         Kaplan and Meier's estimate; None while fewer than half are known to be lost at any time.
         """
+        if sum(taken for _, taken in self._lives) < FEW_TAKEN:
+            return None  # one early take-back among a handful of machines says nothing
         held = sorted([life for life, _ in self._lives] + alive)
         survival = 1.0
         for life in sorted(life for life, taken in self._lives if taken):
--- a/oatport/control/router.py
+++ b/oatport/control/router.py
@@ -25,13 +25,32 @@
         known = [t for t in (self.predictor.percentile_run(0.9), self.predictor.half_life(spot_ages)) if t]
         self.threshold = min(known) if known else self.start_threshold
 
-    def route(self, job: Job, wall: int, queue_wait: int | None) -> str:
+    def route(
+        self, job: Job, wall: int, queue_wait: int | None, spot_open: bool = True, on_demand_open: bool = True
+    ) -> str:
         """The tier of a job for which no owned room is free.
 
         `queue_wait`: predicted work ahead over owned machines; None where none is owned.
+        `spot_open`, `on_demand_open`: whether the cloud still rents such machines. DESIGN assumes that
+        on-demand comes when called; where the cloud has refused it, a job that may use spot goes there
+        rather than wait for what does not come, and the other way round.
         """
         if not job.spec.spot:
             return ON_DEMAND
+        tier = self._ordinary(job, wall, queue_wait)
+        if tier == ON_DEMAND and not on_demand_open and spot_open:
+            return SPOT
+        if tier == SPOT and not spot_open and on_demand_open and self._waiting_risks(job, wall):
+            return ON_DEMAND
+        return tier
+
+    def _waiting_risks(self, job: Job, wall: int) -> bool:
+        """Waiting for a spot machine to come free risks the deadline: the slack is less than one run."""
+        deadline = job.deadline
+        return deadline is None or deadline - wall < self.slack_factor * self.predictor.run_time(job.ref, job.spec)
+
+    def _ordinary(self, job: Job, wall: int, queue_wait: int | None) -> str:
+        """DESIGN's ordinary path."""
         predicted = self.predictor.run_time(job.ref, job.spec)
         deadline = job.deadline
         if predicted < self.threshold:
