Rent few at a time and pause longer after a refusal

Cause: twenty requests queued for the cloud's rate, nearly all to be refused, so spot machines were never asked for. Ruled out: the threshold.

--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -15,7 +15,7 @@
 
 BATCH_MOST = 50  # machines in one rental (PROTOCOL, POST /hosts)
 RELEASE_MOST = 100
-REFUSED_PAUSE = 8 * SECOND
+REFUSED_PAUSE = 20 * SECOND
 
 
 @dataclass(slots=True)
@@ -59,6 +59,9 @@
     def refuse(self, rental: Rental, now: int) -> None:
         self.refused[(rental.type, rental.zone, rental.spot)] = now + REFUSED_PAUSE
 
+    def _asked(self, type_name: str, zone: str, spot: bool) -> bool:
+        return any((r.type, r.zone, r.spot) == (type_name, zone, spot) for r in self.under_way)
+
     def open(self, job: Job, spot: bool, now: int) -> bool:
         """Some machine for this job is still to be had of this kind, as far as is known."""
         return any(
@@ -188,7 +191,7 @@
                     continue
                 if spec.spread and zones.get(zone, 0) >= cap:
                     continue
-                if self.refused.get((kind.name, zone, spot), 0) > now:
+                if self.refused.get((kind.name, zone, spot), 0) > now or self._asked(kind.name, zone, spot):
                     continue
                 key = (cost, zones.get(zone, 0) if job.kind is Kind.SERVICE else self._share(kind, zone, spot))
                 if best_key is None or key < best_key:
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -42,6 +42,7 @@
 
 END_DELAY = 250 * MS  # ends may wait this long for company in one transaction
 WATCH_WAIT = 1_000 * MS
+RENTALS_AT_ONCE = 2
 
 
 class Home(Protocol):
@@ -420,7 +421,7 @@
 
     async def _tick_loop(self) -> None:
         """Repeat what went unanswered, and learn."""
-        recorded_at = steady()
+        recorded_at = told_at = steady()
         while not self.over:
             await asyncio.sleep(0.5)
             now = steady()
@@ -436,6 +437,25 @@
                 recorded_at = now
             self.cluster.replan = self.cluster.replan or bool(self.cluster.waiting)
             self._wake()
+            if now - told_at > 10 * SECOND:
+                told_at = now
+                log.info("%s", self._status(now))
+
+    def _status(self, now: int) -> str:
+        """One line that says how things stand."""
+        machines = list(self.cluster.machines.values())
+        up = [m for m in machines if m.up_at]
+        tiers: dict[str, int] = {}
+        for job in self.cluster.waiting:
+            tiers[job.tier or "?"] = tiers.get(job.tier or "?", 0) + job.pending
+        return (
+            f"machines {len(up)} up ({sum(m.spot for m in up)} spot), {len(machines) - len(up)} not up; "
+            f"cpus {sum(m.type.cpus for m in up):.0f} of which free {sum(m.free_cpus for m in up if not m.spot):.0f} "
+            f"owned {sum(m.free_cpus for m in up if m.spot):.0f} spot; jobs {len(self.cluster.jobs)}; "
+            f"waiting tasks {tiers or 0}; threshold {seconds(self.cluster.router.threshold):.0f} s; "
+            f"rentals under way {len(self.fleet.under_way)}, "
+            f"refused {sum(1 for until in self.fleet.refused.values() if until > now)}"
+        )
 
     # --- machines ---------------------------------------------------------------------------
 
@@ -466,7 +486,9 @@
                 catalog_at = now
                 self.group.once("catalog", self._catalog())
             if self._settled(now) and not self._stalled(now):
-                for rental in self.fleet.wanted(now):
+                # Few at a time: a queue of requests that the cloud will refuse holds up those it would
+                # fill, and by the time they get there nobody wants them.
+                for rental in self.fleet.wanted(now)[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self._rent(rental))
             gone = [m for m in self.fleet.to_release(now)]
