--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -15,6 +15,7 @@
 
 BATCH_MOST = 50  # machines in one rental (PROTOCOL, POST /hosts)
 RELEASE_MOST = 100
+DEAR = 2.5
 REFUSED_PAUSE = 20 * SECOND
 
 
@@ -180,12 +181,13 @@
         predicted = max(self.cluster.predictor.run_time(job.ref, spec), 10 * SECOND)
         best: tuple[wire.MachineType, str] | None = None
         best_key: tuple[float, float] | None = None
+        costs: dict[str, float] = {}
         for kind in allowed_types(spec, self.cluster.types):
             count = min(fit_count(kind, spec), left)
             # What the machine could hold counts for a part: later work fills the rest.
             useful = count + 0.7 * (fit_count(kind, spec) - count)
             price = kind.spot_price if spot else kind.price
-            cost = price * (predicted + micros(kind.boot_s)) / predicted / useful
+            cost = costs[kind.name] = price * (predicted + micros(kind.boot_s)) / predicted / useful
             for zone in kind.zones:
                 if only_zone and zone != only_zone:
                     continue
@@ -196,6 +198,8 @@
                 key = (cost, zones.get(zone, 0) if job.kind is Kind.SERVICE else self._share(kind, zone, spot))
                 if best_key is None or key < best_key:
                     best, best_key = (kind, zone), key
+        if best is not None and costs[best[0].name] > DEAR * min(costs.values()):
+            return None  # waiting for the right sort of machine is better than, say, GPUs left idle
         return best
 
     def _share(self, kind: wire.MachineType, zone: str, spot: bool) -> float:
@@ -204,6 +208,42 @@
             1 for m in self.cluster.machines.values() if m.zone == zone and m.type is kind and m.spot == spot
         )
 
+    # --- surplus ----------------------------------------------------------------------------
+
+    def mark_surplus(self, now: int) -> None:
+        """Let owned machines run empty whose work free spot room could take.
+
+        Free owned room comes first, so without this an owned machine rented in a rush would be kept
+        busy for ever by work that may use spot, while spot machines idle and go back.
+        """
+        cluster = self.cluster
+        spot_room = sum(m.free_cpus for m in cluster.usable_now if m.spot)
+        steady_need = self._warm_cpus()
+        for job in cluster.waiting:
+            if not job.spec.spot or job.tier != SPOT:
+                steady_need += min(job.pending, 50) * job.spec.cpus
+        owned = [m for m in cluster.machines.values() if not m.spot and m.up_at and not m.draining and not m.releasing]
+        room = 0.0
+        loose: list[tuple[float, float, Machine]] = []
+        for machine in owned:
+            fixed = sum(t.job.spec.cpus for t in machine.tasks if not t.job.spec.spot or t.job.tier != SPOT)
+            if fixed:
+                room += machine.type.cpus - fixed
+                machine.surplus = False
+            else:
+                used = sum(t.job.spec.cpus for t in machine.tasks)
+                loose.append((machine.price / machine.type.cpus, -used, machine))
+        loose.sort(key=lambda item: item[:2])
+        for _, minus_used, machine in loose:
+            if room < steady_need:
+                room += machine.type.cpus
+                machine.surplus = False
+            elif spot_room >= -minus_used and (machine.tasks or machine.surplus):
+                spot_room += minus_used
+                machine.surplus = True
+            else:
+                machine.surplus = False
+
     # --- returning --------------------------------------------------------------------------
 
     def to_release(self, now: int) -> list[Machine]:
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -186,6 +186,7 @@
     free_memory: float = 0.0
     idle_since: int = 0
     draining: bool = False  # takes no more tasks
+    surplus: bool = False  # takes none for now: spot room can take what it runs
     releasing: bool = False
     faults: set[str] = field(default_factory=set)  # jobs that ended with an error here
     slow: float = 1.0  # observed run time over the predicted one
@@ -223,6 +224,7 @@
     def usable(self, token: int, now: int, fresh_us: int) -> bool:
         return (
             self.recorded and self.token == token and self.up_at > 0 and not self.draining and not self.releasing
+            and not self.surplus
             and not self.taken_at and now - self.heard_at <= fresh_us and now >= self.blocked_until
         )
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -486,6 +486,7 @@
                 catalog_at = now
                 self.group.once("catalog", self._catalog())
             if self._settled(now) and not self._stalled(now):
+                self.fleet.mark_surplus(now)
                 # Few at a time: a queue of requests that the cloud will refuse holds up those it would
                 # fill, and by the time they get there nobody wants them.
                 for rental in self.fleet.wanted(now)[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
