--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -237,6 +237,7 @@
         task.attempt = attempt if attempt is not None else task.attempt + 1
         task.phase = Phase.CLAIMED
         task.claimed_at = now
+        job.hungry_since = 0
         self.assign(task, machine)
         machine.images[job.spec.image] = now
         machine.idle_since = 0
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -56,6 +56,7 @@
             limit = min(job.pending, use.room(spec) if use else 0)
             if limit <= 0:
                 continue
+            job.hungry_since = job.hungry_since or now
             if job.kind is Kind.GANG:
                 got = self._place_gang(job, usable, now)
                 if not got and not job.on_machines:
@@ -176,10 +177,17 @@
                     if mate.phase is Phase.PLACED:
                         self.cluster.stop(mate, grace)
 
-    def _victims(self, job: Job, machine: Machine) -> Iterator[Task]:
+    def _victims(self, job: Job, machine: Machine, now: int) -> Iterator[Task]:
         teams = self.cluster.teams
         use = teams.get(job.spec.team)
-        in_guarantee = use is not None and use.within_guarantee(job.spec)
+        # Another team's work of the same priority is only stopped for a job that has waited longer than
+        # a rented machine takes: stopped work without checkpoints is lost, and the guarantee is mostly
+        # met sooner by room that comes free or is on its way.
+        patient = self.cluster.tuning.us("guarantee_patience_s")
+        in_guarantee = (
+            use is not None and use.within_guarantee(job.spec) and bool(job.hungry_since)
+            and now - job.hungry_since > patient
+        )
         for task in machine.tasks:
             other = task.job
             if task.phase is not Phase.PLACED or task.stopping is not None or other is job:
@@ -216,7 +224,7 @@
                     continue
             chosen: list[Task] = []
             loss = 0 if spec.image in machine.images else SECOND
-            for task in sorted(self._victims(job, machine), key=lambda t: now - (t.running_since or now)):
+            for task in sorted(self._victims(job, machine, now), key=lambda t: now - (t.running_since or now)):
                 if enough():
                     break
                 other = task.job.spec
--- a/oatport/settings.py
+++ b/oatport/settings.py
@@ -104,6 +104,7 @@
     # [routing]
     spot_threshold_s: float = field(default=60.0, metadata={"section": "routing", "min": 0.0, "max": 1e6})
     slack_factor: float = field(default=2.0, metadata={"section": "routing", "min": 0.0, "max": 100.0})
+    guarantee_patience_s: float = field(default=45.0, metadata={"section": "routing", "min": 0.0, "max": 86400.0})
     # [fleet]
     idle_s: float = field(default=25.0, metadata={"section": "fleet", "min": 1.0, "max": 86400.0})
     boot_patience: float = field(default=4.0, metadata={"section": "fleet", "min": 1.5, "max": 100.0})
