Blend the estimate with the class mean; threshold at the 99th percentile from 120 s

Cause: estimates are off as much as jobs differ, so a tenth and more of the arrays went to on-demand.

--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -96,7 +96,9 @@
         self.tuning = tuning
         self.types = types
         self.predictor = predictor
-        self.router = Router(predictor, tuning.us("spot_threshold_s"), tuning.slack_factor)
+        self.router = Router(
+            predictor, tuning.us("spot_threshold_s"), tuning.slack_factor, tuning.threshold_percentile
+        )
         self.jobs: dict[str, Job] = {}
         self.waiting: set[Job] = set()
         self.machines: dict[str, Machine] = {}
--- a/oatport/control/predictor.py
+++ b/oatport/control/predictor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections import deque
 from typing import Any
 
@@ -21,6 +22,7 @@
 class Predictor:
     def __init__(self) -> None:
         self._ratio: dict[str, tuple[float, float]] = {}  # class -> (weight, sum of actual/estimate)
+        self._mean: dict[str, tuple[float, float]] = {}  # class -> (weight, sum of run times)
         self._job: dict[str, tuple[int, int]] = {}  # job -> (tasks, sum of run times)
         self._recent: deque[int] = deque(maxlen=MEMORY)
         self._lives: deque[tuple[int, bool]] = deque(maxlen=MEMORY)  # spot: (time held, taken back?)
@@ -32,6 +34,10 @@
         self._recent.append(took)
         count, total = self._job.get(ref, (0, 0))
         self._job[ref] = (count + 1, total + took)
+        weight, sum_took = self._mean.get(spec.job_class, (0.0, 0.0))
+        if weight >= MEMORY:
+            weight, sum_took = weight * 0.9, sum_took * 0.9
+        self._mean[spec.job_class] = (weight + 1, sum_took + took)
         estimate = micros(spec.estimate_s)
         if estimate <= 0:
             return
@@ -47,6 +53,11 @@
         """Predicted run time of one task of a job."""
         weight, total = self._ratio.get(spec.job_class, (0.0, 0.0))
         guess = micros(spec.estimate_s) * (total + SEED_WEIGHT) / (weight + SEED_WEIGHT)
+        tasks, sum_took = self._mean.get(spec.job_class, (0.0, 0.0))
+        if tasks >= SEED_WEIGHT and guess > 0:
+            # Estimates are often off by as much as a class's jobs differ: half of the belief, on the
+            # scale of ratios, goes to the class's mean.
+            guess = math.sqrt(guess * (sum_took / tasks))
         count, own = self._job.get(ref, (0, 0))
         # Tasks of the same job tell more than other jobs of its class.
         return round((guess * 2 + own) / (2 + count)) if count else round(guess)
@@ -83,6 +94,8 @@
         ratios = sorted(self._ratio.items(), key=lambda item: -item[1][0])[:40]
         return {
             "ratio": [[name, round(weight, 3), round(total, 3)] for name, (weight, total) in ratios],
+            "mean": [[name, round(self._mean[name][0], 3), round(self._mean[name][1])]
+                     for name, _ in ratios if name in self._mean],
             "recent": [took // (SECOND // 10) for took in list(self._recent)[-60:]],
             "lives": [[held // SECOND, taken] for held, taken in list(self._lives)[-60:]],
         }
@@ -90,6 +103,7 @@
     def load(self, value: Any) -> None:
         try:
             self._ratio = {str(n): (float(w), float(t)) for n, w, t in value["ratio"]}
+            self._mean = {str(n): (float(w), float(t)) for n, w, t in value["mean"]}
             self._recent.extend(int(tenths) * (SECOND // 10) for tenths in value["recent"])
             self._lives.extend((int(held) * SECOND, bool(taken)) for held, taken in value["lives"])
         except (KeyError, TypeError, ValueError):
--- a/oatport/control/router.py
+++ b/oatport/control/router.py
@@ -15,14 +15,15 @@
     predictor: Predictor
     start_threshold: int
     slack_factor: float
+    share: float = 0.9
     threshold: int = 0
 
     def __post_init__(self) -> None:
         self.threshold = self.start_threshold
 
     def learn(self, spot_ages: list[int]) -> None:
-        """The smaller of the 90th-percentile run time and spot's half life; the start value until known."""
-        known = [t for t in (self.predictor.percentile_run(0.9), self.predictor.half_life(spot_ages)) if t]
+        """The smaller of a high percentile of run times and spot's half life; the start value until known."""
+        known = [t for t in (self.predictor.percentile_run(self.share), self.predictor.half_life(spot_ages)) if t]
         self.threshold = min(known) if known else self.start_threshold
 
     def route(
--- a/oatport/settings.py
+++ b/oatport/settings.py
@@ -102,7 +102,8 @@
     # [leadership]
     leader_lease_s: float = field(default=3.0, metadata={"section": "leadership", "min": 0.5, "max": 60.0})
     # [routing]
-    spot_threshold_s: float = field(default=60.0, metadata={"section": "routing", "min": 0.0, "max": 1e6})
+    spot_threshold_s: float = field(default=120.0, metadata={"section": "routing", "min": 0.0, "max": 1e6})
+    threshold_percentile: float = field(default=0.99, metadata={"section": "routing", "min": 0.0, "max": 1.0})
     slack_factor: float = field(default=2.0, metadata={"section": "routing", "min": 0.0, "max": 100.0})
     guarantee_patience_s: float = field(default=45.0, metadata={"section": "routing", "min": 0.0, "max": 86400.0})
     # [fleet]
