Ask the state service before taking a handover; on-demand when the queue would miss the deadline

And arrays waited for refused spot until it was too late for on-demand; jobs already late went first. Ruled out: rental rate.

--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -31,14 +31,20 @@
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
 
-    def order(self, now: int) -> list[Job]:
-        """Waiting jobs: by priority, then a team's guarantee, then by how soon the deadline presses."""
+    def order(self, now: int, wall: int) -> list[Job]:
+        """Waiting jobs: by priority, then a team's guarantee, then by how soon the deadline presses.
+
+        Of the same priority, those that can't meet their deadline any more come last: ahead of the
+        others they would only make those late too.
+        """
         cluster = self.cluster
 
-        def rank(job: Job) -> tuple[int, int, int]:
+        def rank(job: Job) -> tuple[int, int, bool, int]:
             use = cluster.teams.get(job.spec.team)
             within = 0 if use and use.within_guarantee(job.spec) else 1
-            return job.rank, within, job.deadline or job.submitted_at + 600 * SECOND
+            deadline = job.deadline or job.submitted_at + 600 * SECOND
+            late = wall + cluster.predictor.run_time(job.ref, job.spec) > deadline
+            return job.rank, within, late, deadline
 
         return sorted((j for j in cluster.waiting if j.not_before <= now and not j.strays), key=rank)
 
@@ -50,7 +56,7 @@
         cluster.usable_now = usable
         claimed = 0
         full: set[tuple[object, ...]] = set()  # shapes that found no room in this pass
-        for job in self.order(now):
+        for job in self.order(now, wall):
             spec = job.spec
             use = cluster.teams.get(spec.team)
             limit = min(job.pending, use.room(spec) if use else 0)
@@ -246,36 +252,52 @@
         return best
 
 
-def queue_wait(cluster: Cluster, now: int) -> int | None:
-    """Predicted work ahead spread over owned machines, with the running tasks' remainder; None: none owned."""
-    cpus = 0.0
+def _work_ahead(cluster: Cluster, order: list[Job], now: int) -> dict[Job, tuple[int, int | None]]:
+    """For each waiting job the predicted time until its last task starts: over all machines, and over owned.
+
+    The predicted work ahead of it in the queue, its own included, and the running tasks' remainder,
+    spread over the machines' CPUs less those that services hold. None: none is owned.
+    """
+    predictor = cluster.predictor
+    owned = total = 0.0
+    left_owned = left_total = 0.0
     for machine in cluster.machines.values():
-        if not machine.spot and machine.up_at and not machine.draining:
-            cpus += machine.type.cpus
-    if cpus <= 0:
-        return None
-    work = 0.0
-    for job in cluster.jobs.values():
-        if job.kind is Kind.SERVICE:
-            if job.on_machines:
-                cpus -= job.on_machines * job.spec.cpus
+        if not machine.up_at or machine.draining or machine.releasing:
             continue
-        if job.tier == SPOT:
-            continue
-        predicted = cluster.predictor.run_time(job.ref, job.spec)
-        work += predicted * job.spec.cpus * job.pending
-        work += predicted * job.spec.cpus * job.on_machines / 2
-    return None if cpus <= 0 else round(work / cpus)
+        cpus, left = machine.type.cpus, 0.0
+        for task in machine.tasks:
+            if task.job.kind is Kind.SERVICE:
+                cpus -= task.job.spec.cpus
+            else:
+                ran = now - task.running_since if task.running_since else 0
+                left += max(predictor.run_time(task.job.ref, task.job.spec) - ran, 0) * task.job.spec.cpus
+        total += cpus
+        left_total += left
+        if not machine.spot:
+            owned += cpus
+            left_owned += left
+    waits: dict[Job, tuple[int, int | None]] = {}
+    for job in order:
+        work = predictor.run_time(job.ref, job.spec) * job.spec.cpus * job.pending
+        left_total += work
+        if job.tier != SPOT:
+            left_owned += work
+        waits[job] = (
+            round(left_total / total) if total > 0 else 600 * SECOND,
+            round(left_owned / owned) if owned > 0 else None,
+        )
+    return waits
 
 
-def route_waiting(cluster: Cluster, fleet: Fleet, now: int, wall: int) -> None:
+def route_waiting(cluster: Cluster, fleet: Fleet, order: list[Job], now: int, wall: int) -> None:
     """Set the tier of every waiting job; a changed tier is recorded with its first chunk."""
-    ahead = queue_wait(cluster, now)
     ages = [now - m.rented_at for m in cluster.machines.values() if m.spot and m.up_at]
     cluster.router.learn(ages)
-    for job in cluster.waiting:
+    waits = _work_ahead(cluster, order, now)
+    for job in order:
+        over_all, over_owned = waits[job]
         tier = cluster.router.route(
-            job, wall, ahead, fleet.open(job, True, now), fleet.open(job, False, now)
+            job, wall, over_owned, fleet.open(job, True, now), fleet.open(job, False, now), over_all
         )
         if tier != job.tier:
             job.tier = tier
--- a/oatport/control/router.py
+++ b/oatport/control/router.py
@@ -27,11 +27,13 @@
         self.threshold = min(known) if known else self.start_threshold
 
     def route(
-        self, job: Job, wall: int, queue_wait: int | None, spot_open: bool = True, on_demand_open: bool = True
+        self, job: Job, wall: int, queue_wait: int | None, spot_open: bool = True, on_demand_open: bool = True,
+        spot_wait: int = 0,
     ) -> str:
         """The tier of a job for which no owned room is free.
 
         `queue_wait`: predicted work ahead over owned machines; None where none is owned.
+        `spot_wait`: the same over all machines that it may use, for when no more spot is to be had.
         `spot_open`, `on_demand_open`: whether the cloud still rents such machines. DESIGN assumes that
         on-demand comes when called; where the cloud has refused it, a job that may use spot goes there
         rather than wait for what does not come, and the other way round.
@@ -41,14 +43,14 @@
         tier = self._ordinary(job, wall, queue_wait)
         if tier == ON_DEMAND and not on_demand_open and spot_open:
             return SPOT
-        if tier == SPOT and not spot_open and on_demand_open and self._waiting_risks(job, wall):
+        if tier == SPOT and not spot_open and on_demand_open and self._waiting_risks(job, wall, spot_wait):
             return ON_DEMAND
         return tier
 
-    def _waiting_risks(self, job: Job, wall: int) -> bool:
-        """Waiting for a spot machine to come free risks the deadline: the slack is less than one run."""
+    def _waiting_risks(self, job: Job, wall: int, spot_wait: int) -> bool:
+        """Waiting for room on the machines there are would miss the deadline."""
         deadline = job.deadline
-        return deadline is None or deadline - wall < self.slack_factor * self.predictor.run_time(job.ref, job.spec)
+        return deadline is None or wall + spot_wait + self.predictor.run_time(job.ref, job.spec) > deadline
 
     def _ordinary(self, job: Job, wall: int, queue_wait: int | None) -> str:
         """DESIGN's ordinary path."""
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -183,7 +183,13 @@
 
     async def _on_handover(self, message: Message) -> Message:
         token = int(message[1])
-        if self.served() and steady() > self._stand_back_until:
+        if steady() > self._stand_back_until:
+            try:
+                # Asked just now: at the start of an outage for all, what was known a moment ago is wrong,
+                # and without a leader nobody would keep the workers' leases alive until it ends.
+                await self.state.get(LEADER_KEY)
+            except (NoAnswer, Refused):
+                return ["no"]
             self._take_from = max(self._take_from, token)
             self._election.set()
             return ["ok"]
@@ -206,7 +212,7 @@
 
     async def _hand_over(self, lead: Lead, peer: PeerClient) -> None:
         """Refused by the state service while a peer is served: that one can do more."""
-        answer = await peer.ask("handover", lead.token)
+        answer = await peer.ask("handover", lead.token, timeout_us=2 * SECOND)
         if answer[0] == "ok" and lead is self.lead:
             self.lost_lead(f"handed over to {peer.name}, which the state service answers")
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -114,7 +114,7 @@
         raise AssertionError("there is always more to write")
 
     def plan(self) -> None:
-        route_waiting(self.cluster, self.fleet, self.now, self.now)
+        route_waiting(self.cluster, self.fleet, self.placer.order(self.now, self.now), self.now, self.now)
         self.placer.plan(self.now, self.now)
 
     def send(self) -> None:
