--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -174,6 +174,8 @@
         task.machine = machine
         machine.tasks.add(task)
         machine.take(spec.cpus, spec.gpus, spec.memory_gb)
+        if job.kind is Kind.SERVICE:
+            machine.steady_cpus += spec.cpus
         job.on_machines += 1
         job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
         use = self.teams.get(spec.team)
@@ -187,6 +189,8 @@
         assert machine is not None
         machine.tasks.discard(task)
         machine.give(spec.cpus, spec.gpus, spec.memory_gb)
+        if job.kind is Kind.SERVICE:
+            machine.steady_cpus -= spec.cpus
         job.on_machines -= 1
         job.zones[machine.zone] -= 1
         if not job.zones[machine.zone]:
@@ -416,7 +420,7 @@
                 machine.images[task.job.spec.image] = now
             if row.status == wire.RUNNING and not task.running_since:
                 task.running_since = now
-                log.debug("task %s runs on %s after %d ms", task.name, machine.name,
+                log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
                           (now - task.claimed_at) // MS)
             if task.status != row.status:
                 task.status = row.status
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -185,6 +185,7 @@
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_memory: float = 0.0
+    steady_cpus: float = 0.0  # what services take of it
     idle_since: int = 0
     draining: bool = False  # takes no more tasks
     surplus: bool = False  # takes none for now: spot room can take what it runs
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -109,7 +109,10 @@
                 machine.type.gpus if spec.gpus == 0 else 0,
                 spec.image not in machine.images,
                 job.zones.get(machine.zone, 0) if service else 0,
-                machine.free_cpus,  # the fullest first, so that others can be returned
+                # Replicas together, and the rest away from them: machines without replicas can be returned,
+                # and those with them, where the images are, have room for more.
+                -machine.steady_cpus if service else machine.steady_cpus,
+                machine.free_cpus,  # the fullest first
             )
             if best is None or key < best_key:
                 best, best_key = machine, key
