--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -8,7 +8,7 @@
 from oatport.control.fleet import Fleet
 from oatport.control.model import Job, Kind, Machine, Phase, Task, allowed_types, zone_cap
 from oatport.control.router import OWNED, SPOT
-from oatport.times import SECOND
+from oatport.times import SECOND, micros
 
 PREEMPT_PAUSE = 4 * SECOND
 
@@ -265,9 +265,16 @@
     owned = total = 0.0
     left_owned = left_total = 0.0
     for machine in cluster.machines.values():
-        if not machine.up_at or machine.draining or machine.releasing:
+        if machine.draining or machine.releasing or machine.taken_at:
             continue
         cpus, left = machine.type.cpus, 0.0
+        if not machine.up_at:
+            # One that boots is room from then on: without it, a wave of work would rent on-demand what
+            # the spot machines rented a moment ago are about to do.
+            boot = machine.rented_at + round(micros(machine.type.boot_s) * 1.2) - now
+            if boot < -micros(machine.type.boot_s):
+                continue  # long overdue
+            left = max(boot, 0) * cpus
         for task in machine.tasks:
             if task.job.kind is Kind.SERVICE:
                 cpus -= task.job.spec.cpus
