--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -16,6 +16,7 @@
 BATCH_MOST = 50  # machines in one rental (PROTOCOL, POST /hosts)
 RELEASE_MOST = 100
 DEAR = 2.5
+SCARCE_FOR = 120 * SECOND
 REFUSED_PAUSE = 20 * SECOND
 
 
@@ -263,7 +264,7 @@
                     continue
             elif machine.draining or (machine.slow_count >= 3 and machine.slow > 2.5):
                 pass
-            elif machine.idle_since and now - machine.idle_since > tuning.us("idle_s"):
+            elif machine.idle_since and now - machine.idle_since > self._idle_time(machine, now):
                 if not machine.spot and not machine.taken_at:
                     if spare - machine.type.cpus < self._warm_cpus():
                         continue
@@ -274,6 +275,16 @@
             chosen.append(machine)
         return chosen[:RELEASE_MOST]
 
+    def _idle_time(self, machine: Machine, now: int) -> int:
+        """How long an idle machine is kept: longer if the cloud lately had no more of its sort."""
+        idle = self.cluster.tuning.us("idle_s")
+        asked = [until for (name, _, spot), until in self.refused.items()
+                 if name == machine.type.name and spot == machine.spot]
+        scarce = bool(asked) and now - max(asked) < SCARCE_FOR
+        if scarce or machine.type.gpus > 0:
+            return round(idle * self.cluster.tuning.scarce_factor)
+        return idle
+
     def _spare(self) -> float:
         return sum(m.free_cpus for m in self.cluster.usable_now if not m.spot)
 
