--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -245,7 +245,7 @@
         task.claimed_at = now
         job.hungry_since = 0
         self.assign(task, machine)
-        machine.images[job.spec.image] = now
+        machine.images.setdefault(job.spec.image, now)
         machine.idle_since = 0
         self.touch(task, urgent=True)
         if not job.pending:
@@ -417,7 +417,7 @@
         task.acked = (report.session, report.seq)
         if row.status != wire.EXITED:
             if row.status != wire.FETCHING:
-                machine.images[task.job.spec.image] = now
+                machine.images[task.job.spec.image] = 1  # it has it
             if row.status == wire.RUNNING and not task.running_since:
                 task.running_since = now
                 log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -16,7 +16,6 @@
 BATCH_MOST = 50  # machines in one rental (PROTOCOL, POST /hosts)
 RELEASE_MOST = 100
 DEAR = 2.5
-SCARCE_FOR = 120 * SECOND
 REFUSED_PAUSE = 20 * SECOND
 
 
@@ -264,7 +263,7 @@
                     continue
             elif machine.draining or (machine.slow_count >= 3 and machine.slow > 2.5):
                 pass
-            elif machine.idle_since and now - machine.idle_since > self._idle_time(machine, now):
+            elif machine.idle_since and now - machine.idle_since > self._idle_time(machine):
                 if not machine.spot and not machine.taken_at:
                     if spare - machine.type.cpus < self._warm_cpus():
                         continue
@@ -275,15 +274,10 @@
             chosen.append(machine)
         return chosen[:RELEASE_MOST]
 
-    def _idle_time(self, machine: Machine, now: int) -> int:
-        """How long an idle machine is kept: longer if the cloud lately had no more of its sort."""
+    def _idle_time(self, machine: Machine) -> int:
+        """How long an idle machine is kept; those with GPUs are few, and longer in coming back."""
         idle = self.cluster.tuning.us("idle_s")
-        asked = [until for (name, _, spot), until in self.refused.items()
-                 if name == machine.type.name and spot == machine.spot]
-        scarce = bool(asked) and now - max(asked) < SCARCE_FOR
-        if scarce or machine.type.gpus > 0:
-            return round(idle * self.cluster.tuning.scarce_factor)
-        return idle
+        return round(idle * self.cluster.tuning.gpu_idle_factor) if machine.type.gpus > 0 else idle
 
     def _spare(self) -> float:
         return sum(m.free_cpus for m in self.cluster.usable_now if not m.spot)
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -181,7 +181,7 @@
     # Attempts with sent starts whose fate is unknown, and how many: one may still land, so the
     # attempt is not forgotten (a start after a `forget` would start it again).
     unanswered: dict[tuple[str, int], int] = field(default_factory=dict)
-    images: dict[str, int] = field(default_factory=dict)  # image -> last use
+    images: dict[str, int] = field(default_factory=dict)  # image -> first claim; 1: it is there
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_memory: float = 0.0
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -11,6 +11,8 @@
 from oatport.times import SECOND, micros
 
 PREEMPT_PAUSE = 4 * SECOND
+WARM_AFTER = 8 * SECOND  # an image claimed for that long is taken to be fetched
+WARM_WAIT = SECOND * 7 // 10  # how long a replica waits for room to be made where its image is
 
 
 def machine_allowed(job: Job, machine: Machine) -> bool:
@@ -30,6 +32,9 @@
 class Placer:
     def __init__(self, cluster: Cluster) -> None:
         self.cluster = cluster
+        self._start_aims = {
+            aim.job_class: micros(aim.within_s) for aim in cluster.settings.objectives if aim.kind == "wait"
+        }
 
     def order(self, now: int, wall: int) -> list[Job]:
         """Waiting jobs: by priority, then a team's guarantee, then by how soon the deadline presses.
@@ -75,19 +80,39 @@
             if plain and shape in full:
                 continue
             got = 0
+            waits_warm = False
             while got < limit:
                 machine = self.best(job, usable)
                 if machine is None:
                     if plain:
                         full.add(shape)
                     break
+                if job.kind is Kind.SERVICE and self._make_warm_room(job, machine, usable, now):
+                    waits_warm = True
+                    break
                 cluster.claim(job, machine, now)
                 got += 1
             claimed += got
-            if got < limit:
+            if got < limit and not waits_warm:
                 self.preempt(job, usable, now)
         return claimed
 
+    def _make_warm_room(self, job: Job, machine: Machine, usable: list[Machine], now: int) -> bool:
+        """Rather than fetch an image for longer than the class may wait, stop lower work where the image is.
+
+        True while the room is being made; a moment later the replica takes it, or what else is free.
+        """
+        spec = job.spec
+        within = self._start_aims.get(spec.job_class)
+        if within is None or spec.image in machine.images:
+            return False
+        if micros(spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01)) <= within:
+            return False
+        if job.preempt_after <= now:
+            warm = [m for m in usable if m.images.get(spec.image, now) < now - WARM_AFTER]
+            self.preempt(job, warm, now)
+        return job.preempt_after - now > PREEMPT_PAUSE - WARM_WAIT
+
     def best(self, job: Job, usable: list[Machine]) -> Machine | None:
         """Free owned room first; then spot for those routed there."""
         spec = job.spec
