--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from oatport import wire
@@ -11,7 +12,7 @@
 from oatport.control.predictor import Predictor
 from oatport.control.recovery import OutageClock, cut_off, silent
 from oatport.control.router import ON_DEMAND, OWNED, SPOT, Router
-from oatport.settings import SettingsError, load, load_tuning
+from oatport.settings import Objective, SettingsError, load, load_tuning
 from oatport.times import SECOND, micros
 from standins import smoke
 from tests.world import World, cluster_settings, job
@@ -88,6 +89,37 @@
     assert world.fleet.wanted(world.now) == []  # GPU machines are too dear for it
 
 
+def test_when_no_more_spot_is_to_be_had_the_queue_decides() -> None:
+    """Arrays once waited for refused spot machines until it was too late for on-demand."""
+    world = World()
+    world.submit(voyageS=30.0, tideS=100.0)
+    waiting = world.cluster.jobs["j-000001"]
+    router = Router(Predictor(), 60 * SECOND, 2.0)
+    assert router.route(waiting, world.now, None, False, True, 40 * SECOND) == SPOT
+    assert router.route(waiting, world.now, None, False, True, 90 * SECOND) == ON_DEMAND
+
+
+def test_a_replica_takes_room_where_its_image_is() -> None:
+    """A fetch of 4 s breaks an aim of 1 s; lower work is stopped where the image lies."""
+    world = World()
+    world.settings = msgspec.structs.replace(
+        world.settings, objectives=[Objective("wait", job_class="train", within_s=1.0)])
+    world.take_over()
+    warm = world.machine(1)
+    first = world.submit(rig="standing", urgency="production", legs=1, sizeGb=4.0)
+    world.submit(ref="j-000002", legs=1, hull="img-2")
+    world.settle(12)
+    assert world.live(first)
+    cold = world.machine(2)
+    world.settle(2)
+    second = world.submit(ref="j-000003", rig="standing", urgency="production", legs=1, sizeGb=4.0)
+    world.step(0.1)
+    world.step(0.1)
+    world.step(0.1)
+    assert world.live(second) == {f"{second}/0": [warm.name]}
+    assert cold.starts == [] or cold.starts[0][0].startswith("j-000002")
+
+
 def test_a_team_at_its_limit_rents_nothing() -> None:
     world = World()
     world.submit(crew="crew", legs=100)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,169 @@
+"""Nodes and leaders against a faulty state service and faulty peers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.api.peers import Peers
+from oatport.api.workers import handle_report
+from oatport.clients.http import NoAnswer
+from oatport.control.cluster import LEADER_KEY, Batch
+from oatport.service.lead import Lead
+from oatport.service.node import Node
+from oatport.service.tasks import TaskGroup
+from oatport.settings import Tuning
+from oatport.times import SECOND, steady
+from standins.state import FakeState
+from tests.world import TYPES, FakeStateClient, node_settings
+
+
+class Body:
+    def __init__(self, value: Any) -> None:
+        self.value = value
+
+    async def read(self) -> Any:
+        return wire.loads(wire.dumps(self.value))
+
+
+class FakePeer:
+    def __init__(self, answer: list[Any] | None) -> None:
+        self.answer = answer
+
+    async def ask(self, *message: Any, timeout_us: int = 0) -> list[Any]:
+        if self.answer is None:
+            raise NoAnswer("cut")
+        return self.answer
+
+
+class Home:
+    def __init__(self) -> None:
+        self.types = dict(TYPES)
+        self.peers: dict[str, Any] = {}
+        self.display: dict[str, tuple[int, int]] = {}
+        self.lost: list[str] = []
+
+    def lost_lead(self, why: str) -> None:
+        self.lost.append(why)
+
+
+def leader(state: FakeState) -> tuple[Lead, FakeStateClient, Home]:
+    token = state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n0"}}]})[1]["ledgerRev"]
+    client, home = FakeStateClient(state), Home()
+    lead = Lead(home, node_settings(), Tuning(), None, client, token, 1)  # type: ignore[arg-type]
+    lead.loaded = True
+    return lead, client, home
+
+
+@pytest.fixture
+def state() -> FakeState:
+    return FakeState(lambda: 0)
+
+
+async def test_a_handover_is_taken_only_by_a_node_that_is_served_right_now(state: FakeState) -> None:
+    """At the start of an outage for all, a leader once gave up to a node that was refused too."""
+    node = Node(node_settings(), Tuning())
+    client = FakeStateClient(state)
+    node.state = client  # type: ignore[assignment]
+    client.faults = ["refuse"]
+    assert await node._on_handover(["handover", 5]) == ["no"]
+    assert await node._on_handover(["handover", 5]) == ["ok"]
+
+
+async def test_a_lost_answer_to_a_leaders_commit_is_resolved(state: FakeState) -> None:
+    lead, client, home = leader(state)
+    client.faults = ["lose"]
+    batch = Batch(conditions={"live/j-1/0000": 0}, sets={"live/j-1/0000": {"t": [[1]]}})
+    await lead._commit(batch)
+    assert home.lost == []
+    assert lead.cluster.versions["live/j-1/0000"] == state.revision
+
+
+async def test_a_late_leader_commit_cannot_be_applied_twice(state: FakeState) -> None:
+    lead, client, home = leader(state)
+    client.faults = ["late"]
+    await lead._commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
+    assert home.lost == []
+    assert client.deliver_late() == [409]
+
+
+async def test_a_deposed_leader_stops(state: FakeState) -> None:
+    lead, _, home = leader(state)
+    state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n1"}}]})
+    await lead._commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
+    assert home.lost
+    assert not lead.answering()
+
+
+async def test_nobody_is_judged_without_contact(state: FakeState) -> None:
+    """A cut may hold a release and deliver it minutes later, onto another leader's machines."""
+    lead, client, home = leader(state)
+    client.faults = ["refuse", "lose"]
+    assert not await lead._still_leading()
+    assert not await lead._still_leading()
+    assert await lead._still_leading()
+    home.peers = {"n1": FakePeer(None)}
+    assert not await lead._others_lost_them([])  # a peer that doesn't answer proves nothing
+    home.peers = {"n1": FakePeer(["seen", 3, True])}
+    assert not await lead._others_lost_them([])
+    home.peers = {"n1": FakePeer(["seen", 0, True])}
+    assert await lead._others_lost_them([])
+
+
+async def test_in_an_outage_tasks_live_but_nothing_starts(state: FakeState) -> None:
+    lead, client, _ = leader(state)
+    now = steady()
+    client.ok_at, client.failed_at = now - 5 * SECOND, now
+    lead.clock.known_at = now - 5 * SECOND
+    report = wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 1, lead.token, [])
+    answer = lead.take_report(report)
+    assert answer is not None and answer["helm"] == lead.token
+    assert all(order["orderKind"] != "start" for order in answer["orders"])
+    lead.clock.known_at = now - 30 * SECOND  # a cancellation may have been told since
+    assert lead.take_report(report) is None
+
+
+async def test_reports_go_to_the_leader_and_bad_ones_hurt_nobody() -> None:
+    node = Node(node_settings(), Tuning())
+    node._leader = "n1"
+    report = {"berth": "vm-1", "address": "h:1", "berthKind": "m8", "harbor": "a", "driftwood": False, "watch": 1,
+              "logline": 1, "helm": 0, "legs": []}
+    answer = await handle_report(node, "POST", Body(report))  # type: ignore[arg-type]
+    assert (answer.status, answer.value) == (421, {"harbormaster": "n1"})
+    for bad in ({}, [], {**report, "legs": [{"leg": 3}]}, {**report, "watch": "x"}):
+        with pytest.raises(wire.BadMessage):
+            await handle_report(node, "POST", Body(bad))  # type: ignore[arg-type]
+
+
+async def test_strange_peer_messages_are_400() -> None:
+    peers = Peers()
+
+    async def ping(message: list[Any]) -> list[Any]:
+        _, one = message
+        return ["pong", one]
+
+    peers.on("ping", ping)
+    assert (await peers.handle("POST", "/peer", Body(["ping", 1]))).value == ["pong", 1]  # type: ignore[arg-type]
+    for bad in ([], {}, ["unheard"], ["ping"], [1], "x"):
+        with pytest.raises(wire.BadMessage):
+            await peers.handle("POST", "/peer", Body(bad))  # type: ignore[arg-type]
+
+
+async def test_a_failing_background_task_is_seen_and_started_again(caplog: pytest.LogCaptureFixture) -> None:
+    group, runs = TaskGroup(), []
+
+    async def loop() -> None:
+        runs.append(1)
+        if len(runs) == 1:
+            raise ValueError("one bad message")
+
+    group.keep("loop", loop, pause_s=0.0)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.01)
+    group.close()
+    assert len(runs) == 2
+    assert "one bad message" in caplog.text
