--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -124,10 +124,8 @@
                 continue
             if machine.spot and job.tier not in (SPOT, ""):
                 continue
-            if spec.gpus == 0 and machine.type.gpus > 0 and self._elsewhere(job):
-                # A replica would keep the machine for long from those who need the GPUs; other work would be
-                # stopped for them and lost, and would keep a dear machine from being idle and going back.
-                continue
+            if service and spec.gpus == 0 and machine.type.gpus > 0 and self._elsewhere(job):
+                continue  # a replica stays for long, and would keep whole machines from those who need the GPUs
             if machine.name in job.error_machines and len(usable) > len(job.error_machines):
                 continue
             key = (
