--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -420,8 +420,9 @@
                 machine.images[task.job.spec.image] = 1  # it has it
             if row.status == wire.RUNNING and not task.running_since:
                 task.running_since = now
-                log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
-                          (now - task.claimed_at) // MS)
+                if task.claimed_at:
+                    log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
+                              (now - task.claimed_at) // MS)
             if task.status != row.status:
                 task.status = row.status
             if task.job.cancelled and task.stopping is None:
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -103,10 +103,14 @@
         True while the room is being made; a moment later the replica takes it, or what else is free.
         """
         spec = job.spec
-        within = self._start_aims.get(spec.job_class)
-        if within is None or spec.image in machine.images:
+        if spec.image in machine.images:
             return False
-        if micros(spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01)) <= within:
+        # The rate is give or take a third, and a moment goes to placing.
+        fetch = micros(spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01)) * 4 // 3 + SECOND
+        index = job.next_pending()
+        replaces = index is not None and index in job.tasks and job.tasks[index].attempt > 0
+        within = SECOND if replaces else self._start_aims.get(spec.job_class)  # a lost replica is missed at once
+        if within is None or fetch <= within:
             return False
         if job.preempt_after <= now:
             warm = [m for m in usable if m.images.get(spec.image, now) < now - WARM_AFTER]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -120,6 +120,30 @@
     assert cold.starts == [] or cold.starts[0][0].startswith("j-000002")
 
 
+def test_a_lost_replica_is_replaced_where_its_image_is() -> None:
+    """A replacement once fetched for 11 s on a free machine, while arrays ran where the image was."""
+    world = World()
+    first = world.machine(1)
+    ref = world.submit(rig="standing", urgency="production", legs=1, sizeGb=4.0)
+    world.settle(2)
+    warm = world.machine(2)
+    other = world.submit(ref="j-000002", rig="standing", urgency="production", legs=2, sizeGb=4.0, crew="other")
+    world.settle(12)
+    world.cancel(other)  # leaves its image behind
+    world.settle(2)
+    world.submit(ref="j-000003", legs=3, voyageS=500.0, hull="img-2", crew="other")
+    world.settle(3)
+    assert world.cluster.machines[warm.name].free_cpus == 0.0
+    cold = world.machine(3)
+    world.settle(2)
+    assert world.live(ref) == {f"{ref}/0": [first.name]}
+    world.released(first.name)
+    for _ in range(4):
+        world.step(0.1)
+    assert world.live(ref) == {f"{ref}/0": [warm.name]}
+    assert all(not task.startswith(ref) for task, _ in cold.starts)
+
+
 def test_a_team_at_its_limit_rents_nothing() -> None:
     world = World()
     world.submit(crew="crew", legs=100)
