--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -220,8 +220,12 @@
         spot_room = sum(m.free_cpus for m in cluster.usable_now if m.spot)
         steady_need = self._warm_cpus()
         for job in cluster.waiting:
+            use = cluster.teams.get(job.spec.team)
+            cpus = min(job.pending, use.room(job.spec) if use else 0, 50) * job.spec.cpus
             if not job.spec.spot or job.tier != SPOT:
-                steady_need += min(job.pending, 50) * job.spec.cpus
+                steady_need += cpus
+            else:
+                spot_room -= cpus  # what waits would have it first
         owned = [m for m in cluster.machines.values() if not m.spot and m.up_at and not m.draining and not m.releasing]
         room = 0.0
         loose: list[tuple[float, float, Machine]] = []
@@ -238,7 +242,7 @@
             if room < steady_need:
                 room += machine.type.cpus
                 machine.surplus = False
-            elif spot_room >= -minus_used and (machine.tasks or machine.surplus):
+            elif spot_room >= max(-minus_used, 0.0) and (machine.tasks or machine.surplus):
                 spot_room += minus_used
                 machine.surplus = True
             else:
