--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -88,6 +88,8 @@
                         full.add(shape)
                     break
                 if job.kind is Kind.SERVICE and self._make_warm_room(job, machine, usable, now):
+                    # Nobody else takes the room it falls back on, which may have been made for it.
+                    usable = [m for m in usable if m is not machine]
                     waits_warm = True
                     break
                 cluster.claim(job, machine, now)
@@ -269,7 +271,9 @@
                 if job.kind is not Kind.GANG and any(t.stopping is not None for t in machine.tasks):
                     continue
             chosen: list[Task] = []
-            loss = 0 if spec.image in machine.images else SECOND
+            fetch = micros(spec.image_gb / max(machine.type.fetch_gb_per_s, 0.01))
+            # Whoever may preempt is missed while it fetches: that weighs more than the work that is lost.
+            loss = 0 if spec.image in machine.images else 4 * fetch
             for task in sorted(self._victims(job, machine, now), key=lambda t: now - (t.running_since or now)):
                 if enough():
                     break
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -144,6 +144,21 @@
     assert all(not task.startswith(ref) for task, _ in cold.starts)
 
 
+def test_room_made_for_a_replica_is_not_taken_by_an_array() -> None:
+    """While a replica waited for a warm machine, arrays once took the cold room made for it."""
+    world = World()
+    first = world.machine(1)
+    ref = world.submit(rig="standing", urgency="production", legs=1, sizeGb=4.0)
+    world.settle(2)
+    world.submit(ref="j-000002", legs=9, voyageS=500.0, hull="img-2", crew="other")
+    cold = world.machine(2)
+    world.settle(4)
+    world.released(first.name)
+    for _ in range(12):
+        world.step(0.1)
+    assert world.live(ref) == {f"{ref}/0": [cold.name]}
+
+
 def test_a_team_at_its_limit_rents_nothing() -> None:
     world = World()
     world.submit(crew="crew", legs=100)
