--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -53,6 +53,8 @@
                 )
                 if machine is not None:
                     machine.recorded, machine.was_up = True, was_up
+                    # Asked at once by the new leader; one that stays silent has most likely been so before.
+                    machine.known_since = now - cluster.tuning.us("silent_s") * 3 // 10
                 else:
                     cluster.dirty[key] = None
         elif key.startswith(LIVE):
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -612,7 +612,7 @@
                     machine.probing, machine.probed_at = True, now
                     self.group.once("probe", self._probe(machine))
             lost = silent(quiet, now, self.tuning.us("silent_s"))
-            if not lost or now - self.began < self.tuning.us("silent_s") + 2 * SECOND:
+            if not lost or now - self.began < self.tuning.us("silent_s") * 7 // 10:
                 continue
             if cut_off(len(lost), list(self.cluster.machines.values())):
                 helper = await self._who_sees(lost)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 from oatport.control.cluster import LEADER_KEY, chunk_key, live_key
 from oatport.control.model import Phase
 from oatport.control.placer import machine_allowed
+from oatport.control.recovery import silent
 from oatport.settings import Team
 from oatport.times import SECOND
 from tests.world import World
@@ -278,6 +279,20 @@
     assert world.record(ref) == wire.CANCELLED
 
 
+def test_a_machine_silent_since_the_last_leader_is_judged_sooner() -> None:
+    """A machine was cut just before its leader died: the next one waited 7 s before it released it."""
+    world = World()
+    worker, other = world.machine(1), world.machine(2)
+    world.submit(legs=1)
+    world.settle()
+    world.take_over()
+    world.report(other)
+    gone = world.cluster.machines[worker.name]
+    machines = list(world.cluster.machines.values())
+    assert silent(machines, world.now + 3 * SECOND, 5 * SECOND) == []
+    assert silent(machines, world.now + 4 * SECOND, 5 * SECOND) == [gone]
+
+
 def test_quota_counts_what_is_not_proven_gone() -> None:
     world = World([Team("crew", cpus=8.0, cpus_max=8.0)])
     first = world.machine(1)
