--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -7,16 +7,16 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import aiohttp
+import msgspec
 
 from oatport import wire
 from oatport.clients.cloud import CloudClient
 from oatport.clients.http import Bucket, NoAnswer, NotSent, Refused, jitter
 from oatport.clients.peer import PeerClient
-from oatport.clients.state import Applied, NoLease, StateClient
+from oatport.clients.state import Applied, StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.cluster import (
     CATALOG_KEY,
@@ -53,7 +53,6 @@
     display: dict[str, tuple[int, int]]
 
     def lost_lead(self, why: str) -> None: ...
-    async def peer_served(self) -> str | None: ...
 
 
 class Deposed(Exception):
@@ -492,7 +491,7 @@
                 for rental in self.fleet.wanted(now)[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self._rent(rental))
-            gone = [m for m in self.fleet.to_release(now)]
+            gone = self.fleet.to_release(now)
             if gone and self._settled(now):
                 await self._release(gone, "returned")
 
@@ -678,10 +677,15 @@
 
     async def _display_loop(self) -> None:
         """Tell all nodes the counts that users are shown."""
+        rounds = 0
         while not self.over:
             await asyncio.sleep(1.0)
+            rounds += 1
             counts = {ref: self._count(job) for ref, job in self.cluster.jobs.items()}
-            changed = {ref: list(c) for ref, c in counts.items() if self._last_display.get(ref) != c}
+            everything = rounds % 10 == 0  # a node that was started meanwhile knows none
+            changed = {
+                ref: list(c) for ref, c in counts.items() if everything or self._last_display.get(ref) != c
+            }
             ended = [ref for ref in self._last_display if ref not in counts]
             self._last_display = counts
             self.home.display.clear()
@@ -704,12 +708,6 @@
 
 
 def _type_value(kind: wire.MachineType) -> dict[str, Any]:
-    import msgspec
-
     value = msgspec.to_builtins(kind)
     assert isinstance(value, dict)
     return value
-
-
-Told = Callable[[str, str, Any, int], None]
-__all__ = ["Lead", "NoLease"]
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -152,8 +152,6 @@
             self._leader, self._leader_token = name, token
             if self.lead is not None and token > self.lead.token:
                 self.lost_lead(f"{name} leads with token {token}")
-        elif token == self._leader_token and name is None:
-            pass
 
     async def _on_told(self, message: Message) -> Message:
         tag, ref, value, revision = message
@@ -216,13 +214,6 @@
         if answer[0] == "ok" and lead is self.lead:
             self.lost_lead(f"handed over to {peer.name}, which the state service answers")
 
-    async def peer_served(self) -> str | None:
-        now = steady()
-        for name, (served, at) in self._peer_served.items():
-            if served and now - at < 2 * SECOND:
-                return name
-        return None
-
     # --- contact with the state service ---------------------------------------------------------
 
     async def _contact_loop(self) -> None:
@@ -311,8 +302,6 @@
                 self._election.set()
             return 0
         value, version = found
-        if value.get("boot") == self.boot and self.lead is None and version > self._leader_token:
-            pass  # an unsure election of our own; the election loop reads it back
         self._learn_leader(value.get("node"), version)
         if value.get("node") == self.node_name and value.get("boot") != self.boot and self.lead is None:
             # Left by an earlier process of this node's: no use waiting for its lease to end.
