--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,6 +12,7 @@
 from oatport.api.workers import handle_report
 from oatport.clients.http import NoAnswer
 from oatport.control.cluster import LEADER_KEY, Batch
+from oatport.control.fleet import Rental
 from oatport.service.lead import Lead
 from oatport.service.node import Node
 from oatport.service.tasks import TaskGroup
@@ -167,3 +168,23 @@
     group.close()
     assert len(runs) == 2
     assert "one bad message" in caplog.text
+
+
+async def test_a_rental_without_an_answer_is_repeated_under_its_name_which_is_never_reused(state: FakeState) -> None:
+    lead, _, _ = leader(state)
+    asked: list[str] = []
+
+    class Cloud:
+        async def rent(self, request: str, *rest: Any) -> list[str]:
+            asked.append(request)
+            if len(asked) == 1:
+                raise NoAnswer("lost")
+            return [f"vm-{len(asked):06d}"]
+
+    lead.cloud = Cloud()  # type: ignore[assignment]
+    for _ in range(2):
+        rental = Rental("m8", "a", True, 1)
+        lead.fleet.under_way.append(rental)
+        await lead._rent(rental)
+    assert asked == [f"r-{lead.token}-1", f"r-{lead.token}-1", f"r-{lead.token}-2"]
+    assert sorted(lead.cluster.machines) == ["vm-000002", "vm-000003"]
