Polls that wait share one read; jobs that come at once are committed together

A node now asks once what has changed under jobs/ for all polls that wait, after they came. Idle work is told to come back when it takes more than its share of the writes. Not measured yet.

--- /dev/null
+++ b/oatport/api/intake.py
@@ -0,0 +1,118 @@
+"""Accepted jobs are committed together: those that come while a commit is under way go into the next one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from oatport import wire
+from oatport.clients.http import Bucket, NoAnswer, Refused
+from oatport.clients.state import Applied, StateClient
+from oatport.control.records import job_key, live_key
+from oatport.times import MS, seconds
+
+TRIES = (700 * MS, 400 * MS)  # the state service mostly takes 10 ms, at times a few hundred
+WAITING_MOST = 100
+AT_ONCE = 4
+SENT_WITHIN = 150 * MS
+KEYS = 2  # jobs/REF and live/REF
+BYTES_MOST = 24 * 1024  # of records in one transaction: well below its limit
+
+CREATED, KNOWN, UNSURE = "created", "known", "unsure"
+Outcome = tuple[str, int]  # what became of it, and the revision it was created with
+Entry = tuple[dict[str, Any], asyncio.Future[Outcome], asyncio.Future[None]]  # record, outcome, sent
+
+
+class Intake:
+    def __init__(self, state: StateClient, txn_ops: int) -> None:
+        self._state = state
+        self._most = max(1, txn_ops // KEYS)
+        self._waiting: dict[str, Entry] = {}
+        self._running: set[asyncio.Task[None]] = set()
+
+    def full(self) -> bool:
+        return len(self._waiting) >= WAITING_MOST
+
+    async def add(self, ref: str, record: dict[str, Any]) -> Outcome:
+        """Commit a job if it isn't known. KNOWN: there is a record. UNSURE: its user must come back."""
+        entry = self._waiting.get(ref)
+        if entry is None:
+            loop = asyncio.get_running_loop()
+            entry = self._waiting[ref] = (record, loop.create_future(), loop.create_future())
+            created = True
+        else:
+            created = False  # submitted twice at once: the second is told what became of the first
+        if len(self._running) < AT_ONCE:
+            task = asyncio.get_running_loop().create_task(self._rounds())
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+        try:
+            async with asyncio.timeout(seconds(SENT_WITHIN)):
+                await asyncio.shield(entry[2])
+        except TimeoutError:
+            # All calls hang: it was never sent, and its user is told so rather than kept waiting.
+            if self._waiting.get(ref) is entry:
+                del self._waiting[ref]
+                entry[1].set_result((UNSURE, 0))
+        outcome, revision = await asyncio.shield(entry[1])
+        return (outcome, revision) if created or outcome != CREATED else (KNOWN, 0)
+
+    async def _rounds(self) -> None:
+        while self._waiting:
+            batch: dict[str, Entry] = {}
+            size = 0
+            for ref in list(self._waiting):
+                size += len(wire.dumps(self._waiting[ref][0])) * KEYS
+                if batch and (len(batch) >= self._most or size > BYTES_MOST):
+                    break
+                batch[ref] = self._waiting.pop(ref)
+                batch[ref][2].set_result(None)
+            try:
+                outcomes = await self._commit({ref: record for ref, (record, _, _) in batch.items()})
+            except Exception:
+                for _, future, _ in batch.values():
+                    future.set_result((UNSURE, 0))
+                raise
+            for ref, (_, future, _) in batch.items():
+                future.set_result(outcomes.get(ref, (UNSURE, 0)))
+
+    async def _commit(self, records: dict[str, dict[str, Any]]) -> dict[str, Outcome]:
+        """Only an unsure commit is tried again: the conflict that follows a lost answer tells that the job is there."""
+        outcomes: dict[str, Outcome] = {}
+        left = dict(records)
+        for timeout_us in TRIES:
+            while left:
+                sets: dict[str, Any] = {}
+                for ref, record in left.items():
+                    sets[job_key(ref)] = sets[live_key(ref)] = record
+                try:
+                    result = await self._state.commit(
+                        {job_key(ref): 0 for ref in left}, sets, timeout_us=timeout_us
+                    )
+                except NoAnswer:
+                    break
+                except Refused:
+                    return outcomes
+                if isinstance(result, Applied):
+                    return outcomes | {ref: (CREATED, result.revision) for ref in left}
+                known = [ref for ref in left if job_key(ref) in result.failed] or list(left)
+                for ref in known:  # the others are none the worse for it
+                    outcomes[ref] = (KNOWN, 0)
+                    del left[ref]
+        return outcomes
+
+
+class Share:
+    """What idle work may take of the budget for writes, so that the rest always finds some."""
+
+    def __init__(self, write_rps: float, nodes: int) -> None:
+        self._bucket = Bucket(IDLE_SHARE * write_rps / KEYS / max(nodes, 1))
+
+    def take(self) -> bool:
+        if self._bucket.available() < 1:
+            return False
+        self._bucket.take()
+        return True
+
+
+IDLE_SHARE = 0.7
--- a/oatport/api/users.py
+++ b/oatport/api/users.py
@@ -2,33 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-from collections import OrderedDict
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
 from oatport import wire
+from oatport.api.intake import CREATED, TRIES, UNSURE, Intake, Share
+from oatport.api.jobview import WITHIN, JobView
 from oatport.api.server import Answer, BodyReader, later
+from oatport.api.slots import Busy, Slots
 from oatport.clients.http import NoAnswer, Refused
 from oatport.clients.state import Applied, StateClient
 from oatport.control.model import Kind, allowed_types, job_record
-from oatport.control.records import cancel_key, job_key, live_key
+from oatport.control.records import cancel_key, job_key
 from oatport.settings import Settings
-from oatport.times import MS, seconds, time_of_day
+from oatport.times import time_of_day
 
 log = logging.getLogger(__name__)
 
-COMMIT_TRIES = (700 * MS, 400 * MS)  # the state service mostly takes 10 ms, at times a few hundred
-SHOW_WITHIN = 800 * MS
-SLOT_WITHIN = 150 * MS
-FINAL_KEPT = 20_000
 BUSY_LIMIT = 250
-
-
-class Busy(Exception):
-    """Too many calls are under way: the caller is told to come back."""
+IDLE, IDLE_LATER_S = "idle", 3
+SLOTS = 24  # calls of users' requests on the state service at a time
 
 
 class Backstage(Protocol):
@@ -48,9 +41,12 @@
         self._backstage = backstage
         self._teams = {team.name: team for team in settings.cluster.teams}
         self._zones = set(settings.cluster.zones)
-        self._final: OrderedDict[str, dict[str, Any]] = OrderedDict()
+        limits = settings.cluster.state
+        self._slots = Slots(SLOTS)
+        self._view = JobView(state, self._slots, limits.rps)
+        self._intake = Intake(state, limits.txn_ops)
+        self._idle_share = Share(limits.write_rps, settings.cluster.size)
         self._busy = 0
-        self._slots = asyncio.Semaphore(24)  # calls of users' requests on the state service at a time
 
     async def handle(self, method: str, path: str, body: BodyReader) -> Answer:
         if path == wire.READY:
@@ -79,8 +75,6 @@
 
     async def submit(self, value: Any) -> Answer:
         job = wire.submission(value)
-        if job.ref in self._final:
-            return Answer(200, self._final[job.ref])
         if not self._backstage.types:
             return later()  # the machine types are not known yet: it can't be judged
         problem = self.never_runs(job)
@@ -107,64 +101,34 @@
         return None
 
     async def _accept(self, job: wire.Submission) -> Answer:
-        """Commit the job, or say at once when to come back.
-
-        Only an unsure commit is tried a second time, since the conflict that follows a lost answer tells
-        that the job is there; a user who comes back is answered the same way.
-        """
+        """Commit the job, or say at once when to come back."""
+        if self._intake.full():
+            return later()
+        if job.priority == IDLE and not self._view.known(job.ref) and not self._idle_share.take():
+            return later(IDLE_LATER_S)  # the others' submissions and the leader's claims go first
         record = job_record(job, time_of_day(), wire.QUEUED)
-        conditions = {job_key(job.ref): 0}
-        sets = {job_key(job.ref): record, live_key(job.ref): record}
-        for timeout_us in COMMIT_TRIES:
-            try:
-                async with self._slot():
-                    result = await self._state.commit(conditions, sets, timeout_us=timeout_us)
-            except NoAnswer:
-                continue
-            except (Refused, Busy):
-                return later()
-            if isinstance(result, Applied):
-                self._backstage.tell_accepted(job.ref, record, result.revision)
-                return Answer(201, {"ref": job.ref, "status": wire.QUEUED})
-            known = await self._read(job.ref)
-            return Answer(200, known) if known else later()
-        return later()
-
-    @asynccontextmanager
-    async def _slot(self) -> AsyncIterator[None]:
-        """One of the calls on the state service at a time; Busy if there is none soon."""
-        try:
-            async with asyncio.timeout(seconds(SLOT_WITHIN)):
-                await self._slots.acquire()
-        except TimeoutError:
-            raise Busy from None
-        try:
-            yield
-        finally:
-            self._slots.release()
+        mark = self._view.mark()
+        outcome, revision = await self._intake.add(job.ref, record)
+        if outcome == CREATED:
+            self._view.created(job.ref, record, revision, mark)
+            self._backstage.tell_accepted(job.ref, record, revision)
+            return Answer(201, {"ref": job.ref, "status": wire.QUEUED})
+        known = None if outcome == UNSURE else await self._read(job.ref)
+        return Answer(200, known) if known else later()
 
     # --- show -------------------------------------------------------------------------------
 
     async def _read(self, ref: str) -> dict[str, Any] | None:
         """The answer for a job as its record has it; {} if there is none, None if that can't be told."""
         try:
-            async with self._slot():
-                found = await self._state.get(job_key(ref), timeout_us=SHOW_WITHIN)
+            found = await self._view.find(ref)
         except (NoAnswer, Refused, Busy):
             return None
-        if found is None:
-            return {}
-        record, version = found
-        return self._shape(ref, record, version)
+        return self._shape(ref, *found[:2]) if found else {}
 
-    def _shape(self, ref: str, record: dict[str, Any], version: int) -> dict[str, Any]:
-        state, total = record["state"], int(record["job"]["legs"])
+    def _shape(self, ref: str, state: str, total: int) -> dict[str, Any]:
         if state in wire.FINAL:
-            value = {"ref": ref, "status": state, "done": total if state == wire.DONE else 0, "running": 0}
-            self._final[ref] = value
-            if len(self._final) > FINAL_KEPT:
-                self._final.popitem(last=False)
-            return value
+            return {"ref": ref, "status": state, "done": total if state == wire.DONE else 0, "running": 0}
         done, running = self._backstage.display.get(ref, (0, 0))
         return {
             "ref": ref, "status": wire.RUNNING_JOB if running else wire.QUEUED,
@@ -174,8 +138,6 @@
     async def show(self, ref: str) -> Answer:
         if not wire.valid_ref(ref):
             return Answer(404, {"error": "no such job"})
-        if ref in self._final:
-            return Answer(200, self._final[ref])
         value = await self._read(ref)
         if value is None:
             return later()
@@ -187,22 +149,24 @@
         if not wire.valid_ref(ref):
             return Answer(404, {"error": "no such job"})
         # The second round settles an unsure commit by reading it back, or one that lost a race to another change.
-        for timeout_us in COMMIT_TRIES:
-            if ref in self._final:
-                return Answer(200, {"ref": ref, "status": self._final[ref]["status"]})
+        for timeout_us in TRIES:
+            known = self._view.known(ref)
+            if known and known[0] in wire.FINAL:
+                return Answer(200, {"ref": ref, "status": known[0]})
+            mark = self._view.mark()
             try:
-                async with self._slot():
-                    found = await self._state.get(job_key(ref), timeout_us=SHOW_WITHIN)
+                async with self._slots.one():
+                    found = await self._state.get(job_key(ref), timeout_us=WITHIN)
                     if found is None:
                         return Answer(404, {"error": "no such job"})
                     record, version = found
-                    value = self._shape(ref, record, version)
-                    if value["status"] in wire.FINAL:
-                        return Answer(200, {"ref": ref, "status": value["status"]})
+                    if self._view.learn(ref, record, version, mark)[0] in wire.FINAL:
+                        continue
                     # The mark tells a later leader of it among the live work.
+                    cancelled = {**record, "state": wire.CANCELLED}
                     result = await self._state.commit(
                         {job_key(ref): version, cancel_key(ref): 0},
-                        {job_key(ref): {**record, "state": wire.CANCELLED}, cancel_key(ref): {"at": time_of_day()}},
+                        {job_key(ref): cancelled, cancel_key(ref): {"at": time_of_day()}},
                         timeout_us=timeout_us,
                     )
             except NoAnswer:
@@ -210,7 +174,8 @@
             except (Refused, Busy):
                 return later()
             if isinstance(result, Applied):
-                self._shape(ref, {**record, "state": wire.CANCELLED}, result.revision)
+                self._view.learn(ref, cancelled, result.revision, mark)
                 self._backstage.tell_cancelled(ref, result.revision)
                 return Answer(200, {"ref": ref, "status": wire.CANCELLED})
-        return later()
+        known = self._view.known(ref)
+        return Answer(200, {"ref": ref, "status": known[0]}) if known and known[0] in wire.FINAL else later()
--- a/oatport/clients/state.py
+++ b/oatport/clients/state.py
@@ -122,10 +122,20 @@
         if status != 200:
             raise Refused(status, value)
 
-    async def changes(self, prefix: str, revision: int, wait_us: int) -> tuple[int, list[dict[str, Any]]] | None:
+    async def revision(self, prefix: str, timeout_us: int = DEADLINE) -> int:
+        """The revision of the whole store now."""
+        query = f"under={prefix}&page=1"
+        status, value = await self._call("GET", wire.STORE, query=query, timeout_us=timeout_us)
+        if status != 200:
+            raise Refused(status, value)
+        return int(value["ledgerRev"])
+
+    async def changes(
+        self, prefix: str, revision: int, wait_us: int, timeout_us: int = DEADLINE
+    ) -> tuple[int, list[dict[str, Any]]] | None:
         """Changes under a prefix after a revision; None: too old, read the keys again."""
         query = f"under={prefix}&from={revision}&waitMs={wait_us // MS}"
-        status, value = await self._call("GET", wire.CHANGES, query=query, timeout_us=wait_us + DEADLINE)
+        status, value = await self._call("GET", wire.CHANGES, query=query, timeout_us=wait_us + timeout_us)
         if status == 410:
             return None
         if status != 200:
--- a/tests/world.py
+++ b/tests/world.py
@@ -219,11 +219,13 @@
         self.held: list[dict[str, Any]] = []
         self.ok_at = 1
         self.failed_at = 0
+        self.reads = 0
 
     def _fault(self) -> str:
         return self.faults.pop(0) if self.faults else ""
 
     async def get(self, key: str, timeout_us: int = 0) -> tuple[Any, int] | None:
+        self.reads += 1
         fault = self._fault()
         if fault == "refuse":
             raise Refused(503)
@@ -232,6 +234,22 @@
         status, value = self.state.get(key)
         return (value["value"], value["entryRev"]) if status == 200 else None
 
+    async def revision(self, prefix: str, timeout_us: int = 0) -> int:
+        self.reads += 1
+        return self.state.revision
+
+    async def changes(
+        self, prefix: str, revision: int, wait_us: int, timeout_us: int = 0
+    ) -> tuple[int, list[dict[str, Any]]] | None:
+        self.reads += 1
+        fault = self._fault()
+        if fault == "refuse":
+            raise Refused(503)
+        if fault:
+            raise NoAnswer(fault)
+        value = self.state.changes(prefix, revision)[1]
+        return value["ledgerRev"], value["news"]
+
     async def commit(
         self, conditions: dict[str, int], sets: dict[str, Any], drops: list[str] | None = None,
         lease: int | None = None, timeout_us: int = 0,
