Faulty jobs told from faulty machines; a leader that stood still proves itself first

Two jobs that fail everywhere drained healthy machines. Both sides of the evidence count now (control/faults.py). What can't be fenced by the token (rentals, releases) goes out only while the lease can't have ended, by the time since the last renewal was asked for (control/mandate.py); time in which the process stood still is not counted as lived. A leader that hears no worker for one and a half report intervals gives way to a node that does. Not measured yet.

--- a/oatport/clients/cloud.py
+++ b/oatport/clients/cloud.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import aiohttp
 
 from oatport import wire
-from oatport.clients.http import Bucket, HttpClient, Refused
+from oatport.clients.http import Bucket, HttpClient, NotSent, Refused
 from oatport.times import SECOND
 
 DEADLINE = 5 * SECOND
@@ -13,10 +15,13 @@
 
 
 class CloudClient:
-    def __init__(self, session: aiohttp.ClientSession, address: str, rps: float) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, rps: float, may_act: Callable[[], bool]
+    ) -> None:
         self._http = HttpClient(session, address)
         # A little under the cloud's own limit, since an earlier leader may have used some of it.
         self._budget = Bucket(rps * 0.85)
+        self._may_act = may_act
 
     async def catalog(self) -> dict[str, wire.MachineType]:
         await self._budget.spend()
@@ -25,9 +30,19 @@
             raise Refused(status, value)
         return wire.catalog(value)
 
+    async def _turn(self) -> None:
+        """Wait for the budget; what changes something goes out only if its sender may still act then.
+
+        The cloud knows no tokens: a leader that woke after another had taken its place once could have returned
+        machines that were at work for that one.
+        """
+        await self._budget.spend()
+        if not self._may_act():
+            raise NotSent("not entitled any more")
+
     async def rent(self, request: str, type_name: str, zone: str, spot: bool, count: int) -> list[str]:
         """Names of the machines rented; Refused where there are none. `request` is never reused."""
-        await self._budget.spend()
+        await self._turn()
         body = wire.rental(request, type_name, zone, spot, count)
         status, value = await self._http.request("POST", wire.HOSTS, body, timeout_us=DEADLINE)
         if status != 200:
@@ -36,7 +51,7 @@
 
     async def release(self, names: list[str]) -> None:
         """Once this returns, the machines and all on them are gone."""
-        await self._budget.spend()
+        await self._turn()
         status, value = await self._http.request("POST", wire.RELEASE, {"berths": names}, timeout_us=DEADLINE)
         if status != 200:
             raise Refused(status, value)
--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -84,8 +84,8 @@
     queues: dict[tuple[int, tuple[str, ...]], list[tuple[Job, list[int]]]] = {}
     for job in cluster.waiting:
         times = dues(cluster, job)
-        job.due, job.late = times[0] if times else job.submitted_at + NO_DEADLINE, False
-        if times:
+        job.due, job.late = times[0] if times else job.submitted_at + NO_DEADLINE, job.suspect
+        if times and not job.suspect:
             soonest = wall + cluster.predictor.run_time(job.ref, job.spec)
             # What is lost anyway is not worth a dearer machine.
             job.target = next((due for due in times if due >= soonest), wall + NO_DEADLINE)
@@ -138,7 +138,7 @@
         pool = pools.get(suited)
         if pool is None:
             pool = pools[suited] = _pool(by_type, suited)
-        work = cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * job.pending
+        work = cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * (1 if job.suspect else job.pending)
         pool.left_total += work
         if job.tier != SPOT:
             pool.left_owned += work
@@ -177,9 +177,9 @@
     Of the same priority, those that can't meet any deadline come last.
     """
 
-    def rank(job: Job) -> tuple[int, int, bool, int, int, str]:
+    def rank(job: Job) -> tuple[int, bool, int, bool, int, int, str]:
         due = job.due or job.deadline or job.submitted_at + NO_DEADLINE
-        return job.rank, 0 if job.guaranteed else 1, job.late, due, job.submitted_at, job.ref
+        return job.rank, job.suspect, 0 if job.guaranteed else 1, job.late, due, job.submitted_at, job.ref
 
     return sorted((j for j in cluster.waiting if j.not_before <= now and not j.strays), key=rank)
 
@@ -190,7 +190,7 @@
     # Since when an earlier leader's tasks run is not known.
     running = [
         now - t.running_since for m in cluster.machines.values() for t in m.tasks
-        if t.running_since and t.claimed_at and t.job.kind is not Kind.SERVICE
+        if t.running_since and t.claimed_at and t.job.kind is not Kind.SERVICE and not t.job.suspect
     ]
     cluster.router.learn(ages, running)
     mark_guaranteed(cluster)
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from oatport import wire
+from oatport.control import faults
 from oatport.control.model import (
     CHUNK_TASKS,
     PRIORITIES,
@@ -256,7 +257,7 @@
                 self._learn_speed(machine, took, self.predictor.run_time(job.ref, job.spec))
             self.predictor.finished(job.ref, job.spec, took)
         if machine is not None:
-            machine.faults.clear()
+            faults.task_done(job, machine, self.machines, now)
             self.unassign(task)
         job.tasks.pop(task.index, None)
         job.done.add(task.index)
@@ -367,6 +368,19 @@
             self.requeue(task, lost=True)
         self.replan = True
 
+    def stood_still(self, gap: int) -> None:
+        """This process did not run for a while: nobody was silent or idle for it meanwhile."""
+        for machine in self.machines.values():
+            for name in ("heard_at", "known_since", "idle_since", "gpus_idle_since"):
+                at = getattr(machine, name)
+                if at:
+                    setattr(machine, name, at + gap)
+        for job in self.waiting:
+            if job.hungry_since:
+                job.hungry_since += gap
+        if self._accounted_at:
+            self._accounted_at += gap
+
     def note_dark(self, lost: list[Machine], now: int) -> None:
         """Machines are given up as silent: a zone with several of them and no other that is heard is cut off.
 
@@ -453,8 +467,10 @@
                 if task.claimed_at:
                     log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
                               (now - task.claimed_at) // MS)
-            if task.status != row.status:
-                task.status = row.status
+            task.status = row.status
+            job = task.job
+            if job.suspect and job.kind is Kind.SERVICE and faults.works(job, now):
+                faults.task_done(job, machine, self.machines, now)
             if task.job.cancelled and task.stopping is None:
                 self.stop(task, 0.0)
             return
@@ -468,17 +484,8 @@
             return
         wanted = task.stopping is not None
         if why == wire.WHY_ERROR:
-            job.errors += 1
-            job.error_machines.add(machine.name)
-            machine.faults.add(job.ref)
-            if len(job.error_machines) > 1:
-                # It fails wherever it runs: its own mistake, most likely. Back off.
-                job.not_before = now + min(60, 1 << min(job.errors, 6)) * SECOND
-            if len(machine.faults) >= 2 or job.errors == 1:
-                machine.blocked_until = now + 20 * SECOND
-            if len(machine.faults) >= 2:
-                log.info("machine %s set aside: tasks of several jobs failed on it", machine.name)
-                machine.draining = True
+            if faults.job_failed(job, machine, self.machines, task.attempt, now):
+                self.dirty.setdefault(chunk_key(job.ref, 0), None)  # for the next leader
         elif why == wire.WHY_NO_ROOM:
             machine.blocked_until = now + 3 * SECOND
         elif why == wire.WHY_UNKNOWN:
--- /dev/null
+++ b/oatport/control/faults.py
@@ -0,0 +1,92 @@
+"""A faulty job or a faulty machine: what the evidence on both sides says.
+
+A job that fails on several machines and is done on none says nothing against the machines: its users submitted
+it with a mistake, and it fails wherever it runs until they cancel it. A machine on which jobs fail that are done
+elsewhere is at fault. Two faulty jobs once drained every healthy machine that they met.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from oatport.control.model import Job, Kind, Machine
+from oatport.times import SECOND
+
+log = logging.getLogger(__name__)
+
+SUSPECT_AFTER = 2  # machines that a job failed on
+SET_ASIDE_AFTER = 2  # jobs that failed on a machine
+ASIDE = 20 * SECOND  # how long one is kept from new work on evidence that may still turn out to be the jobs'
+PAUSE_MOST = 60
+SETTLED = 20 * SECOND  # a replica that has run for this long works
+
+
+def works(job: Job, now: int) -> bool:
+    """A task of it was done, or a replica of it stays up."""
+    if job.kind is not Kind.SERVICE:
+        return bool(job.done)
+    return any(task.running_since and now - task.running_since > SETTLED for task in job.tasks.values())
+
+
+def job_failed(job: Job, machine: Machine, machines: dict[str, Machine], attempt: int, now: int) -> bool:
+    """A task ended with an error; True if the job has become a suspect by it."""
+    if not job.suspect or now >= job.not_before:  # what was under way when it was judged makes it no worse
+        job.errors += 1
+    if attempt > 1 and machine.name in job.error_machines:
+        job.not_before = now + _pause(attempt)  # there is no other machine for it
+    job.error_machines.add(machine.name)
+    became = False
+    working = works(job, now)
+    if not job.suspect and not working and len(job.error_machines) >= SUSPECT_AFTER:
+        log.info("job %s fails wherever it runs: a task at a time from now on", job.ref)
+        job.suspect = became = True
+        job.errors = 1
+        for name in job.error_machines:
+            acquit(machines.get(name), job)
+    if job.suspect:
+        job.not_before = max(job.not_before, now + _pause(job.errors))
+        return became
+    machine.faults.add(job.ref)
+    if working:
+        machine.proven.add(job.ref)  # it runs elsewhere
+    judge(machine, now)
+    return became
+
+
+def _pause(failures: int) -> int:
+    return min(PAUSE_MOST, 1 << min(failures, 6)) * SECOND
+
+
+def judge(machine: Machine, now: int) -> None:
+    if len(machine.proven) >= SET_ASIDE_AFTER:
+        if not machine.draining:
+            log.info("machine %s set aside: jobs failed on it that run elsewhere", machine.name)
+        machine.draining = True
+    elif len(machine.faults) >= SET_ASIDE_AFTER:
+        machine.blocked_until = max(machine.blocked_until, now + ASIDE)
+
+
+def acquit(machine: Machine | None, job: Job) -> None:
+    """The job's failure says nothing against the machine."""
+    if machine is None:
+        return
+    machine.faults.discard(job.ref)
+    machine.proven.discard(job.ref)
+    if len(machine.faults) < SET_ASIDE_AFTER:
+        machine.blocked_until = 0
+
+
+def task_done(job: Job, machine: Machine, machines: dict[str, Machine], now: int) -> None:
+    """A task was done: the job can succeed and the machine works."""
+    machine.faults.clear()
+    machine.proven.clear()
+    for name in job.error_machines - {machine.name}:
+        other = machines.get(name)
+        if other is not None and (job.suspect or job.ref in other.faults):
+            other.faults.add(job.ref)
+            other.proven.add(job.ref)
+            judge(other, now)
+    job.errors = 0
+    if job.suspect:
+        job.suspect = False
+        job.not_before = 0
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -90,7 +90,7 @@
         smallest = min((job.spec.cpus for job in cluster.waiting), default=0.0) - 1e-9
         planned: dict[tuple[str, str, bool], int] = {}
         for job in sorted(cluster.waiting, key=lambda j: (j.rank, j.deadline or j.submitted_at)):
-            if job.tier == OWNED or job.not_before > now or not job.tier:
+            if job.tier == OWNED or job.not_before > now or not job.tier or job.suspect:
                 continue
             self._cover(job, coming, freeing, planned, now)
             coming = [room for room in coming if room.cpus >= smallest]
@@ -297,8 +297,8 @@
         spot_room = sum(m.free_cpus for m in cluster.usable_now if m.spot and m.type.gpus == 0)
         steady_need = self._warm_cpus()
         for job in cluster.waiting:
-            if job.spec.gpus > 0:
-                continue  # it has machines of its own sort
+            if job.spec.gpus > 0 or job.suspect:
+                continue  # it has machines of its own sort, or rather no use for any
             use = cluster.teams.get(job.spec.team)
             cpus = min(job.pending, use.room(job.spec) if use else 0, 50) * job.spec.cpus
             if not job.spec.spot or job.tier != SPOT:
@@ -342,7 +342,7 @@
         """
         cluster = self.cluster
         owned = [m for m in cluster.usable_now if not m.spot and not m.gone]
-        if any(not job.spec.spot or job.tier != SPOT for job in cluster.waiting):
+        if any(not job.suspect and (not job.spec.spot or job.tier != SPOT) for job in cluster.waiting):
             for machine in cluster.machines.values():
                 machine.emptying = False
             return []
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -84,8 +84,9 @@
     lost: int = 0  # take-backs and losses suffered: the retry count
     tier: str = ""  # what the router decided last
     not_before: int = 0  # backing off after errors (steady)
-    errors: int = 0
+    errors: int = 0  # since a task of it was last done
     error_machines: set[str] = field(default_factory=set)
+    suspect: bool = False  # it failed on several machines and was done on none: rather its mistake than theirs
     zones: dict[str, int] = field(default_factory=dict)  # tasks on machines, by zone
     finishing: bool = False  # its end is being committed
     strays: int = 0  # attempts of it seen where no record puts them: nothing is placed meanwhile
@@ -145,6 +146,8 @@
         value: dict[str, Any] = {"t": rows}
         if chunk == 0:
             value["tier"], value["lost"] = self.tier, self.lost
+            if self.suspect:
+                value["errors"] = self.errors
         return value
 
     def record(self, state: str) -> dict[str, Any]:
@@ -200,7 +203,8 @@
     surplus: bool = False  # takes none for now: spot room can take what it runs
     emptying: bool = False  # surplus, and its replicas move elsewhere
     releasing: bool = False
-    faults: set[str] = field(default_factory=set)  # jobs that ended with an error here
+    faults: set[str] = field(default_factory=set)  # jobs that failed here, since a task was last done here
+    proven: set[str] = field(default_factory=set)  # those of them that were done elsewhere
     slow: float = 1.0  # observed run time over the predicted one
     slow_count: int = 0
     listed: bool = False
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -59,12 +59,14 @@
             spec = job.spec
             use = cluster.teams.get(spec.team)
             limit = min(job.pending, use.room(spec) if use else 0)
+            if job.suspect and job.kind is not Kind.GANG:
+                limit = min(limit, 1 - job.on_machines)  # one is enough to see whether it fails again
             if limit <= 0:
                 continue
             job.hungry_since = job.hungry_since or now
             if job.kind is Kind.GANG:
                 got = self._place_gang(job, roomy, now)
-                if not got and not job.on_machines:
+                if not got and not job.on_machines and not job.suspect:
                     self.preempt(job, usable, now)
                     held = self._gang_waits_for(job, roomy, booting)
                     if held:
@@ -283,7 +285,7 @@
 
         A search in vain is not repeated for `pause`: it looks at every task of every machine.
         """
-        if job.preempt_after > now:
+        if job.preempt_after > now or job.suspect:
             return
         wanted = 1 if job.kind is Kind.GANG else min(job.pending, 8)
         found = self._cheapest_victims(job, usable, wanted, now)
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -86,6 +86,8 @@
     low = number * CHUNK_TASKS
     if number == 0:
         job.tier, job.lost = str(value.get("tier", "")), int(value.get("lost", 0))
+        job.errors = int(value.get("errors", 0))
+        job.suspect = job.errors > 0
     rows = value["t"]
     # Tasks between the known ones were never touched but are below the mark now.
     while job.fresh < low + len(rows):
@@ -142,6 +144,17 @@
     ]
 
 
+def deaf(machines: list[Machine], now: int, report_us: int) -> list[Machine]:
+    """All machines, if none of several was heard for longer than the time between two reports of any of them.
+
+    With many machines that takes a moment to see: a leader cut off from workers need not wait as long as for one.
+    """
+    up = [m for m in machines if m.up_at and not m.releasing]
+    if len(up) < DARK_LEAST or any(now - m.heard_at <= report_us * 3 // 2 for m in up):
+        return []
+    return up
+
+
 def dark_suspects(machines: list[Machine], now: int, silent_us: int) -> list[Machine]:
     """Machines of zones that went silent as a whole, while most of the others are heard.
 
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -16,7 +16,7 @@
 from oatport.control.fleet import RELEASE_MOST, Fleet, Rental
 from oatport.control.model import Kind, Machine
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
-from oatport.control.recovery import cut_off, dark_suspects, silent
+from oatport.control.recovery import cut_off, dark_suspects, deaf, silent
 from oatport.times import MS, SECOND, steady, time_of_day
 
 if TYPE_CHECKING:
@@ -25,6 +25,7 @@
 log = logging.getLogger(__name__)
 
 RENTALS_AT_ONCE = 2
+OWN_PROBES = 4
 
 
 class FleetKeeper:
@@ -35,7 +36,9 @@
         self._session = session
         self.cluster = lead.cluster
         self.fleet = Fleet(lead.cluster)
-        self.cloud = CloudClient(session, lead.settings.services.cloud, lead.settings.cluster.cloud.rps)
+        self.cloud = CloudClient(
+            session, lead.settings.services.cloud, lead.settings.cluster.cloud.rps, lead.entitled
+        )
         self.home = lead.home
         self.state = lead.state
         self.tuning = lead.tuning
@@ -69,7 +72,7 @@
         catalog_at = moved_at = 0
         while not self._lead.over:
             await asyncio.sleep(0.3)
-            now = steady()
+            now = self._lead.now()
             if now - catalog_at > (30 * SECOND if self.cluster.types else SECOND):
                 catalog_at = now
                 self.group.once("catalog", self.catalog())
@@ -88,7 +91,7 @@
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self.rent(rental))
             gone = self.fleet.to_release(now)
-            if gone and self._settled(now):
+            if gone and self._settled(now) and self._lead.entitled():
                 await self._release(gone, "returned")
 
     def _settled(self, now: int) -> bool:
@@ -198,9 +201,10 @@
 
     async def silence_loop(self) -> None:
         """Machines not heard of: ask them, ask the other nodes, and release the lost ones."""
+        asked_at = 0
         while not self._lead.over:
             await asyncio.sleep(0.5)
-            now = steady()
+            now = self._lead.now()
             silent_us = self.tuning.us("silent_s")
             machines = list(self.cluster.machines.values())
             quiet = silent(machines, now, silent_us // 2)
@@ -208,29 +212,46 @@
                 if not machine.probing and now - machine.probed_at > 1_500 * MS and machine.address:
                     machine.probing, machine.probed_at = True, now
                     self.group.once("probe", self._probe(machine))
+            unheard = deaf(machines, now, self.cluster.report_us)
+            if unheard and now - asked_at > silent_us // 2:
+                asked_at = now
+                await self._gives_way(unheard)
+                continue
             dark = dark_suspects(machines, now, silent_us)
             lost = dark or silent(quiet, now, silent_us)
             if not lost or now - self._lead.began < silent_us * (3 if dark else 7) // 10:
                 continue
             if dark or cut_off(len(lost), machines):
-                helper, most_lost = await self.ask_around(lost)
-                if helper is not None:
-                    log.warning("%d machines are silent to me but not to %s", len(lost), helper)
-                    self.home.lost_lead(f"cut off from workers; {helper} sees them")
+                given_up, most_lost = await self._gives_way(lost)
+                if given_up:
                     return
                 if not most_lost:
                     continue
             # A node without contact judges nobody: its request to release might be held by the cut and
             # executed minutes later, when all those machines are at work for another leader.
-            if steady() - self.state.ok_at > SECOND or not await self.still_leading():
+            if not self._lead.entitled() or not await self.still_leading():
                 continue
-            still = silent(lost, steady(), silent_us // 2 if dark else silent_us)
+            still = silent(lost, self._lead.now(), silent_us // 2 if dark else silent_us)
             lost = [m for m in still if m.probed_at > 0 and not m.gone][:RELEASE_MOST]
             if lost:
                 log.info("silent machines, releasing: %s", " ".join(m.name for m in lost))
                 self.cluster.note_dark(lost, steady())
                 await self._release(lost, "silent")
 
+    async def _gives_way(self, machines: list[Machine]) -> tuple[bool, bool]:
+        """Give up the lead if another node reaches these machines; and whether most nodes reach none of them."""
+        asked = steady()
+        # Asked once more by itself: after a busy moment, reports may just wait to be read.
+        own = asyncio.gather(*(self._probe(m) for m in machines[:OWN_PROBES] if m.address))
+        helper, most_lost = await self.ask_around(machines)
+        await own
+        if any(m.heard_at >= asked for m in machines):
+            return False, most_lost
+        if helper is not None:
+            log.warning("%d machines are silent to me but not to %s", len(machines), helper)
+            self.home.lost_lead(f"cut off from workers; {helper} sees them")
+        return helper is not None, most_lost
+
     async def still_leading(self) -> bool:
         try:
             found = await self.state.get(LEADER_KEY)
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -18,6 +18,7 @@
 from oatport.clients.worker import WorkerClient
 from oatport.control.backlog import route_waiting
 from oatport.control.cluster import Cluster
+from oatport.control.mandate import Mandate, Pulse
 from oatport.control.model import Job, Machine, Phase
 from oatport.control.placer import Placer
 from oatport.control.predictor import Predictor
@@ -52,7 +53,7 @@
 class Lead:
     def __init__(
         self, home: Home, settings: Settings, tuning: Tuning, session: aiohttp.ClientSession,
-        state: StateClient, token: int, lease: int,
+        state: StateClient, token: int, lease: int, held_at: int,
     ) -> None:
         self.home = home
         self.settings = settings
@@ -64,8 +65,10 @@
         limits = settings.cluster
         self.cluster = Cluster(token, limits, tuning, dict(home.types), Predictor())
         self.placer = Placer(self.cluster)
-        self.clock = OutageClock(limits, steady())
         self.began = steady()
+        self.clock = OutageClock(limits, self.began)
+        self.mandate = Mandate(tuning.us("leader_lease_s"), held_at)
+        self._pulse = Pulse(self.began)
         self.group = TaskGroup()
         self.loaded = False
         self.over = False
@@ -123,6 +126,19 @@
             self.over = True
             self.home.lost_lead(why)
 
+    def now(self) -> int:
+        """The steady clock. A time in which this process stood still is not counted as lived."""
+        now = steady()
+        gap = self._pulse.beat(now)
+        if gap:
+            log.warning("stood still for %.1f s", seconds(gap))
+            self.cluster.stood_still(gap)
+        return now
+
+    def entitled(self) -> bool:
+        """Nobody else can be leading: asked at the moment of acting."""
+        return not self.over and self.mandate.holds(steady())
+
     def wake(self) -> None:
         cluster = self.cluster
         if cluster.replan:
@@ -190,13 +206,13 @@
         if report.token > self.token:
             self.depose(f"a worker has seen token {report.token}")
             return None
-        now = steady()
+        now = self.now()
         machine = self.heard(report, now)
         if machine is None or machine.releasing:
             return wire.report_answer(self.token, [])
         orders, starts = self.cluster.commands(machine, now, direct=False)
-        if self.state_down(now):
-            # Tasks live on, but nothing starts while the state service can't be reached.
+        if not self.entitled():
+            # Tasks live on, but nothing starts while the state service can't be reached, or after standing still.
             orders = [order for order in orders if order["orderKind"] != "start"]
             starts = []
         self.cluster.sent(machine, starts, now, direct=False)
@@ -329,7 +345,7 @@
             except TimeoutError:
                 pass
             self._plan_wanted.clear()
-            now, wall = steady(), time_of_day()
+            now, wall = self.now(), time_of_day()
             if self.stalled(now):
                 # What is claimed while the state service is away would only pile up, and what is
                 # preempted for it would be lost.
@@ -346,7 +362,7 @@
             await asyncio.sleep(seconds(max(15 * MS, PLAN_REST * took)))
 
     def stalled(self, now: int) -> bool:
-        return bool(self._writing_since and now - self._writing_since > SECOND) or self.state_down(now)
+        return bool(self._writing_since and now - self._writing_since > SECOND) or not self.entitled()
 
     async def _send_loop(self) -> None:
         while not self.over:
@@ -363,13 +379,10 @@
     async def _send(self, machine: Machine) -> None:
         cluster = self.cluster
         try:
-            now = steady()
-            if not self.answering() or machine.gone:
-                return
+            now = self.now()
+            if not self.entitled() or machine.gone:
+                return  # reports' answers still carry the stops
             orders, starts = cluster.commands(machine, now, direct=True)
-            if self.state_down(now):
-                orders = [order for order in orders if order["orderKind"] != "start"]
-                starts = []
             if not orders:
                 return
             cluster.sent(machine, starts, now, direct=True)
@@ -412,7 +425,7 @@
         recorded_at = told_at = steady()
         while not self.over:
             await asyncio.sleep(0.5)
-            now = steady()
+            now = self.now()
             self.cluster.account(now)
             for machine in self.cluster.machines.values():
                 for task in machine.tasks:
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -27,6 +27,7 @@
 PING_EVERY = 700 * MS
 SERVED_FRESH = 2 * SECOND
 STAND_BACK = 6 * SECOND  # after giving the lead up, let others take it
+TAKE_WITHIN = 2 * SECOND  # a handover that was agreed to is off after this
 
 
 class Node:
@@ -46,6 +47,7 @@
         self._lease_us = tuning.us("leader_lease_s")
         self._stand_back_until = 0
         self._take_from = 0  # token of a leader that handed over to this node
+        self._take_until = 0
         self._election = asyncio.Event()
         self._cancel_told_at = 0
         self._peer_served: dict[str, tuple[bool, int]] = {}  # peer -> (served, as of)
@@ -189,6 +191,7 @@
             except (NoAnswer, Refused):
                 return ["no"]
             self._take_from = max(self._take_from, token)
+            self._take_until = steady() + TAKE_WITHIN
             self._election.set()
             return ["ok"]
         return ["no"]
@@ -210,8 +213,11 @@
 
     async def _hand_over(self, lead: Lead, peer: PeerClient) -> None:
         """Refused by the state service while a peer is served: that one can do more."""
+        lead.mandate.doubt(steady())  # it may take over though its answer is lost
         answer = await peer.ask("handover", lead.token, timeout_us=2 * SECOND)
-        if answer[0] == "ok" and lead is self.lead:
+        if answer[0] != "ok":
+            lead.mandate.doubt_until = 0
+        elif lead is self.lead:
             self.lost_lead(f"handed over to {peer.name}, which the state service answers")
 
     # --- contact with the state service ---------------------------------------------------------
@@ -222,7 +228,9 @@
             lead = self.lead
             try:
                 if lead is not None:
+                    asked = steady()
                     await self.state.touch(lead.lease, min(self._lease_us // 2, SECOND))
+                    lead.mandate.proven(asked)
                 elif steady() - self.state.ok_at > SECOND:
                     await self.state.get(LEADER_KEY)
             except NoLease:
@@ -306,6 +314,7 @@
         if value.get("node") == self.node_name and value.get("boot") != self.boot and self.lead is None:
             # Left by an earlier process of this node's: no use waiting for its lease to end.
             self._take_from = version
+            self._take_until = steady() + TAKE_WITHIN
             self._election.set()
         return version
 
@@ -331,9 +340,10 @@
         version = 0
         if found is not None:
             self._learn_leader(found[0].get("node"), found[1])
-            if found[1] != self._take_from:
+            if found[1] != self._take_from or steady() > self._take_until:
                 return
             version = found[1]
+        held_at = steady()
         lease = await self.state.hold(self._lease_us)
         value = {"node": self.node_name, "boot": self.boot, "lease": lease}
         token = 0
@@ -350,7 +360,7 @@
             return
         self._take_from = 0
         self._leader, self._leader_token = self.node_name, token
-        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease)
+        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at)
         self.lead = lead
         try:
             await lead.take_over()
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,121 @@
+"""Faulty jobs and faulty machines, told apart by both sides of the evidence."""
+
+from __future__ import annotations
+
+from oatport.control.model import Machine
+from oatport.control.router import OWNED
+from standins.worker import FakeWorker
+from tests.world import World
+
+
+def fail_all(world: World, ref: str) -> int:
+    """Every task of a job on any machine fails; how many there were."""
+    failed = 0
+    for worker in world.workers.values():
+        for (name, _), task in worker.tasks.items():
+            if name.startswith(ref + "/") and task.status != "ended":
+                task.status, task.why = "ended", "error"
+                failed += 1
+    return failed
+
+
+def machines(world: World) -> list[Machine]:
+    return list(world.cluster.machines.values())
+
+
+def test_jobs_that_fail_everywhere_cost_no_machine() -> None:
+    # Each of two such jobs failed on two healthy machines, which were set aside for good and returned.
+    world = World()
+    for number in (1, 2):
+        world.machine(number)
+    world.machine(3)
+    refs = [world.submit(ref=f"j-00000{n}", legs=3) for n in (1, 2)]
+    world.settle()
+    for _ in range(4):
+        for ref in refs:
+            fail_all(world, ref)
+        world.step(1.0)
+    assert all(world.cluster.jobs[ref].suspect for ref in refs)
+    assert not any(m.draining for m in machines(world))
+    assert all(m.blocked_until <= world.now for m in machines(world))
+    good = world.submit(ref="j-000003", legs=6)
+    world.settle()
+    assert len(world.live(good)) == 6
+
+
+def test_a_suspect_job_runs_a_task_at_a_time_with_longer_pauses_and_nothing_is_done_for_it() -> None:
+    world = World()
+    for number in (1, 2, 3):
+        world.machine(number)
+    ref = world.submit(legs=6, urgency="high", driftwood=False)
+    idle = world.submit(ref="j-000002", urgency="idle", legs=1, voyageS=500.0)
+    world.settle()
+    failures = []
+    for _ in range(60):
+        failed = fail_all(world, ref)
+        world.step(1.0)
+        failures.append(failed)
+    assert failures[0] == 5 or failures[0] == 6
+    assert max(failures[2:]) <= 1
+    assert 1 <= sum(failures[2:]) <= 6
+    assert world.cluster.predictor.run_time(ref, world.cluster.jobs[ref].spec) == 30_000_000  # no lesson learnt
+    # It stops nobody else's work, and nothing is rented for it.
+    assert len(world.live(idle)) == 1
+    job = world.cluster.jobs[ref]
+    job.not_before = 0
+    world.plan()
+    assert job.tier != OWNED
+    assert world.fleet.wanted(world.now) == []
+    # Its cancellation is met, and it is never called done.
+    world.cancel(ref)
+    world.settle()
+    assert world.live(ref) == {}
+    assert world.record(ref) == "aborted"
+
+
+def test_a_faulty_machine_is_set_aside_by_jobs_that_run_elsewhere() -> None:
+    world = World()
+    bad = world.machine(1)
+    refs = [world.submit(ref=f"j-00000{number}", legs=1) for number in (1, 2)]
+    world.settle()
+    for ref in refs:
+        assert fail_all(world, ref) == 1
+    good = world.machine(2)
+    world.settle()
+    assert len(good.starts) == 2  # they run elsewhere at once
+    assert not world.cluster.machines[bad.name].draining  # not proven yet: it may be the jobs
+    world.settle(32)
+    assert world.cluster.machines[bad.name].draining
+    assert [m.name for m in world.fleet.to_release(world.now)] == [bad.name]
+
+
+def test_a_job_wrongly_suspected_is_cleared_by_its_first_task_done() -> None:
+    world = World()
+    bad: list[FakeWorker] = [world.machine(1), world.machine(2)]
+    ref = world.submit(legs=4)
+    world.settle()
+    fail_all(world, ref)
+    world.step(1.0)
+    job = world.cluster.jobs[ref]
+    assert job.suspect
+    world.machine(3)
+    world.settle(45)
+    assert not job.suspect
+    assert all(ref in world.cluster.machines[w.name].proven for w in bad)
+    world.settle(40)
+    assert world.record(ref) == "done"
+
+
+def test_a_suspicion_outlives_a_takeover() -> None:
+    world = World()
+    for number in (1, 2):
+        world.machine(number)
+    ref = world.submit(legs=4)
+    world.settle()
+    fail_all(world, ref)
+    world.step(1.0)
+    world.commit()
+    world.take_over()
+    assert world.cluster.jobs[ref].suspect
+    world.settle()
+    assert len(world.live(ref)) <= 1
