Guests' idle work takes spot room and what is free beside replicas

Idle work that may use spot is now for spot unless an aim is at risk, and keeps no owned machine of its own. Not measured yet.

--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -8,7 +8,7 @@
 
 from oatport import wire
 from oatport.control.cluster import Cluster
-from oatport.control.model import Job, Kind, Machine, Phase, Task, fit_count, room_for, zone_cap
+from oatport.control.model import IDLE_RANK, Job, Kind, Machine, Phase, Task, fit_count, room_for, zone_cap
 from oatport.control.router import OWNED, SPOT
 from oatport.times import SECOND, micros
 
@@ -303,7 +303,7 @@
             cpus = min(job.pending, use.room(job.spec) if use else 0, 50) * job.spec.cpus
             if not job.spec.spot or job.tier != SPOT:
                 steady_need += cpus
-            else:
+            elif job.rank != IDLE_RANK:
                 spot_room -= cpus  # what waits would have it first
         owned = [
             m for m in cluster.machines.values()
@@ -318,7 +318,7 @@
                     room += machine.type.cpus - fixed
                     machine.surplus = False
             else:
-                used = sum(t.job.spec.cpus for t in machine.tasks)
+                used = sum(t.job.spec.cpus for t in machine.tasks if t.job.rank != IDLE_RANK)
                 loose.append((machine.price / machine.type.cpus, -used, machine))
         loose.sort(key=lambda item: item[:2])
         for _, minus_used, machine in loose:
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -15,6 +15,7 @@
 CHUNK_TASKS = 100  # tasks in one record; at about 30 bytes each well below the smallest value limit
 
 PRIORITIES = {"production": 0, "high": 1, "normal": 2, "idle": 3}
+IDLE_RANK = PRIORITIES["idle"]
 
 
 class Kind(StrEnum):
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -7,8 +7,8 @@
 from oatport import wire
 from oatport.control.backlog import order
 from oatport.control.cluster import Cluster
-from oatport.control.model import Job, Kind, Machine, Phase, Task, zone_cap
-from oatport.control.records import IDLE_RANK
+from oatport.control.model import IDLE_RANK, Job, Kind, Machine, Phase, Task, zone_cap
+from oatport.control.router import SPOT
 from oatport.times import SECOND, micros
 
 CROWDED = 0.2  # owned room is taken up if no more than this share is free
@@ -159,11 +159,15 @@
         # those who need the GPUs, or kept at their price for work that any machine can do.
         no_gpus = self._elsewhere(job)
         on_spot = self.cluster.takes_free_spot(job)
+        # Idle work fills owned room beside replicas; an owned machine of its own would be kept for it, at two to
+        # three times the price of the spot room that it may use.
+        beside = job.rank == IDLE_RANK and spec.spot and not spec.gpus and job.tier == SPOT
         errors = job.error_machines if len(machines) > len(job.error_machines) else ()
         return [
             m for m in machines
             if m.fits(spec) and (on_spot or not m.spot) and machine_allowed(job, m)
             and not (no_gpus and m.type.gpus > 0 and not self.cluster.fills(job, m, self.cluster.now))
+            and not (beside and not m.spot and m.steady_cpus <= 0)
             and m.name not in errors
         ]
 
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -6,11 +6,10 @@
 from typing import Any
 
 from oatport import wire
-from oatport.control.model import CHUNK_TASKS, PRIORITIES, Job, Kind, Machine, Phase, Task
+from oatport.control.model import CHUNK_TASKS, IDLE_RANK, Job, Kind, Machine, Phase, Task
 from oatport.control.predictor import Predictor
 
 FLEET_CHUNK = 40  # machines in one fleet record
-IDLE_RANK = PRIORITIES["idle"]
 ACCEPT_KEYS = 2  # written to accept a job: jobs/REF and live/REF
 
 JOBS, LIVE, FLEET = "jobs/", "live/", "fleet/"
--- a/oatport/control/router.py
+++ b/oatport/control/router.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from oatport.control.model import Job
+from oatport.control.model import IDLE_RANK, Job
 from oatport.control.predictor import Predictor
 
 OWNED, SPOT, ON_DEMAND = "owned", "spot", "on-demand"
@@ -45,8 +45,10 @@
         tier = self._ordinary(job, wall, queue_wait)
         if tier == ON_DEMAND and not on_demand_open and spot_open:
             return SPOT
-        if tier == SPOT and not spot_open and on_demand_open and self._risks(job, wall, spot_wait) is not False:
-            return ON_DEMAND
+        if tier == SPOT and not spot_open and on_demand_open:
+            risks = self._risks(job, wall, spot_wait)
+            if risks or (risks is None and job.rank != IDLE_RANK):
+                return ON_DEMAND
         return tier
 
     def _risks(self, job: Job, wall: int, wait: int) -> bool | None:
@@ -77,6 +79,9 @@
             if job.lost and deadline is not None and deadline - wall < self.slack_factor * predicted:
                 return ON_DEMAND
             return SPOT
+        if job.rank == IDLE_RANK and not self._risks(job, wall, predicted):
+            # Guests' long arrays waited for owned room for the whole day: nobody is late if they start again.
+            return SPOT
         if queue_wait is None or self._risks(job, wall, queue_wait):
             return ON_DEMAND
         return OWNED
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -48,7 +48,7 @@
     for number in (1, 2, 3):
         world.machine(number)
     ref = world.submit(legs=6, urgency="high", driftwood=False)
-    idle = world.submit(ref="j-000002", urgency="idle", legs=1, voyageS=500.0)
+    idle = world.submit(ref="j-000002", urgency="idle", legs=1, voyageS=500.0, driftwood=False)
     world.settle()
     failures = []
     for _ in range(60):
--- /dev/null
+++ b/tests/test_guests.py
@@ -0,0 +1,72 @@
+"""Guests: idle work of teams without a guarantee uses what is cheap and free, and costs others nothing."""
+
+from __future__ import annotations
+
+from oatport.control.router import SPOT
+from oatport.settings import Team
+from tests.world import World
+
+TEAMS = [Team("crew", cpus=8.0, cpus_max=32.0), Team("guests")]
+IDLE = {"urgency": "idle", "crew": "guests", "cores": 2.0}
+
+
+def test_a_guests_long_array_is_rented_spot_for_and_no_owned_machine() -> None:
+    # It was sent to owned room, of which there was none for it all day.
+    world = World(TEAMS)
+    world.machine(1)
+    world.settle()
+    ref = world.submit(legs=20, voyageS=300.0, **IDLE)
+    world.settle()
+    assert world.cluster.jobs[ref].tier == SPOT
+    assert world.live(ref) == {}  # the empty owned machine is not kept for it
+    rentals = world.fleet.wanted(world.now)
+    assert rentals and all(rental.spot for rental in rentals)
+    for rental in rentals:
+        world.fleet.refuse(rental, world.now)
+    world.plan()
+    assert not any(not rental.spot for rental in world.fleet.wanted(world.now))
+
+
+def test_guests_fill_the_room_beside_replicas() -> None:
+    world = World(TEAMS)
+    world.machine(1)
+    world.submit(ref="j-000001", rig="standing", urgency="production", legs=1, driftwood=False)
+    world.settle()
+    guest = world.submit(ref="j-000002", legs=4, voyageS=300.0, **IDLE)
+    world.settle()
+    assert len(world.live(guest)) == 2
+    # They give way at once.
+    world.submit(ref="j-000003", rig="standing", urgency="production", legs=1, driftwood=False)
+    world.settle()
+    assert len(world.live("j-000003")) == 1
+
+
+def test_an_owned_machine_that_only_guests_use_runs_empty() -> None:
+    world = World(TEAMS)
+    world.machine(1)
+    service = world.submit(ref="j-000001", rig="standing", urgency="production", legs=1, driftwood=False)
+    world.settle()
+    guest = world.submit(ref="j-000002", legs=4, voyageS=300.0, **IDLE)
+    world.settle()
+    world.cancel(service)
+    world.settle()
+    assert len(world.live(guest)) == 2
+    world.fleet.mark_surplus(world.now)
+    assert world.cluster.machines["vm-000001"].surplus
+
+
+def test_a_swarm_does_not_claim_more_than_can_be_written_down_soon() -> None:
+    world = World(TEAMS)
+    for number in range(1, 13):
+        world.machine(number, spot=True)
+    world.settle(2)
+    for number in range(100):
+        world.submit(ref=f"j-{number:06d}", legs=1, **{**IDLE, "cores": 0.25})
+    world.plan()
+    claimed = sum(job.on_machines for job in world.cluster.jobs.values())
+    assert 0 < claimed < 40
+    urgent = world.submit(ref="j-000200", urgency="production", rig="standing", legs=1)
+    world.step()
+    assert len(world.live(urgent)) == 1
+    world.settle(5)
+    assert sum(job.on_machines for job in world.cluster.jobs.values()) == 101
