--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -61,7 +61,7 @@
         world.machine(number, spot=True)
     world.settle(2)
     for number in range(100):
-        world.submit(ref=f"j-{number:06d}", legs=1, **{**IDLE, "cores": 0.25})
+        world.submit(ref=f"j-{number:06d}", legs=1, memoryGb=0.5, **{**IDLE, "cores": 0.25})
     world.plan()
     claimed = sum(job.on_machines for job in world.cluster.jobs.values())
     assert 0 < claimed < 40
