--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -221,7 +221,9 @@
             lost = dark or silent(quiet, now, silent_us)
             if not lost or now - self._lead.began < silent_us * (3 if dark else 7) // 10:
                 continue
-            if dark or cut_off(len(lost), machines):
+            # Judged by all that are quiet: one by one they pass the mark, and those that came first were once
+            # released by a leader that was cut off.
+            if dark or cut_off(len(quiet), machines):
                 given_up, most_lost = await self._gives_way(lost)
                 if given_up:
                     return
--- /dev/null
+++ b/tests/test_still.py
@@ -0,0 +1,191 @@
+"""A node that stands still while its clocks run on: a jump of the clock between two steps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.clients import http
+from oatport.clients.cloud import CloudClient
+from oatport.clients.http import NoAnswer, NotSent
+from oatport.control.fleet import Rental
+from oatport.control.mandate import DOUBT, Mandate, Pulse
+from oatport.control.recovery import cut_off, deaf, silent
+from oatport.service import lead as lead_module
+from oatport.service.node import Node
+from oatport.settings import Tuning
+from oatport.times import MS, SECOND
+from standins.state import FakeState
+from tests.test_service import FakePeer, leader
+from tests.world import FakeStateClient, World, node_settings
+
+
+class Clock:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.at = 1_000 * SECOND
+        for module in (lead_module, http):
+            monkeypatch.setattr(module, "steady", lambda: self.at)
+
+
+@pytest.fixture
+def state() -> FakeState:
+    return FakeState(lambda: 0)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    return Clock(monkeypatch)
+
+
+class Asked:
+    """An HTTP client that notes what is asked of the cloud."""
+
+    def __init__(self) -> None:
+        self.paths: list[str] = []
+
+    async def request(self, method: str, path: str, *_: Any, **__: Any) -> tuple[int, Any]:
+        self.paths.append(path)
+        return 200, {"berths": []}
+
+
+def test_a_mandate_counts_from_when_the_proof_was_asked_for() -> None:
+    mandate = Mandate(3 * SECOND, asked_at=0)
+    assert mandate.holds(2_700 * MS)
+    assert not mandate.holds(2_800 * MS)  # clocks drift, and a request takes a moment to go out
+    mandate.proven(2 * SECOND)
+    mandate.proven(1 * SECOND)  # an older answer that came late
+    assert mandate.holds(4_700 * MS)
+    mandate.doubt(4 * SECOND)  # another node was asked to take over: the lease says nothing about the key
+    assert not mandate.holds(4_100 * MS)
+    mandate.proven(4 * SECOND + DOUBT)
+    assert mandate.holds(4 * SECOND + DOUBT)
+
+
+def test_a_gap_is_noticed_once() -> None:
+    pulse = Pulse(0)
+    assert [pulse.beat(at * SECOND) for at in (1, 2, 9, 10)] == [0, 0, 7 * SECOND, 0]
+
+
+async def test_a_leader_that_wakes_starts_rents_and_returns_nothing(state: FakeState, clock: Clock) -> None:
+    """Those machines may be at work for another leader: the cloud knows no tokens."""
+    lead, _, home = leader(state)
+    lead.mandate.asked_at = clock.at
+    http_client = Asked()
+    cloud = CloudClient(None, "h:1", 5.0, lead.entitled)  # type: ignore[arg-type]
+    cloud._http = http_client  # type: ignore[assignment]
+    lead.keeper.cloud = cloud
+    await cloud.release(["vm-000001"])
+    assert http_client.paths == [wire.RELEASE]
+    clock.at += 7 * SECOND  # stands still, between the decision and the request
+    with pytest.raises(NotSent):
+        await cloud.release(["vm-000002"])
+    with pytest.raises(NotSent):
+        await cloud.rent("r-1-1", "m8", "a", True, 1)
+    assert lead.stalled(clock.at)
+    machine = lead.cluster.add_machine("vm-000003", "m8", "a", False, "h:1", clock.at, 0)
+    assert machine is not None
+    await lead.keeper._release([machine], "returned")
+    await lead._send(machine)
+    assert http_client.paths == [wire.RELEASE]
+    assert not machine.gone  # it is there until proven gone
+    assert home.lost == []  # whether it still leads is for the state service to say
+
+
+async def test_a_rental_under_way_in_a_freeze_is_not_repeated_unentitled(state: FakeState, clock: Clock) -> None:
+    lead, _, _ = leader(state)
+    lead.mandate.asked_at = clock.at
+    asked: list[str] = []
+
+    class Cloud:
+        async def rent(self, request: str, *_: Any) -> list[str]:
+            asked.append(request)
+            clock.at += 9 * SECOND
+            lead.over = True  # another leader was found meanwhile
+            raise NoAnswer("timers fire before what waits in the sockets is read")
+
+    lead.keeper.cloud = Cloud()  # type: ignore[assignment]
+    rental = Rental("m8", "a", True, 1)
+    lead.keeper.fleet.under_way.append(rental)
+    await lead.keeper.rent(rental)
+    assert asked == [f"r-{lead.token}-1"]
+    assert lead.keeper.fleet.under_way == []
+
+
+async def test_tasks_outlive_a_short_freeze_but_none_starts_before_proof(state: FakeState, clock: Clock) -> None:
+    lead, _, _ = leader(state)
+    lead.mandate.asked_at = lead.clock.known_at = clock.at
+    report = wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 1, lead.token, [])
+    assert lead.take_report(report) is not None
+    clock.at += 7 * SECOND
+    answer = lead.take_report(wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 2, lead.token, []))
+    assert answer is not None and answer["helm"] == lead.token  # a worker that knows a higher token drops it
+    clock.at += 25 * SECOND  # a cancellation may have been told meanwhile, which this node never heard of
+    assert lead.take_report(wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 3, lead.token, [])) is None
+
+
+def test_a_freeze_makes_no_machine_silent_or_idle() -> None:
+    world = World()
+    for number in (1, 2, 3):
+        world.machine(number)
+    world.settle(3)
+    machines = list(world.cluster.machines.values())
+    gap = 20 * SECOND
+    world.now += gap
+    assert len(silent(machines, world.now, 5 * SECOND)) == 3  # as it would look
+    assert world.fleet.to_release(world.now)
+    for machine in machines:
+        machine.releasing = False
+    world.cluster.stood_still(gap)
+    assert silent(machines, world.now, 5 * SECOND) == []
+    assert world.fleet.to_release(world.now) == []
+    # What really passes meanwhile is not moved: a spot notice, a boot.
+    assert all(machine.rented_at < world.now - gap for machine in machines)
+
+
+def test_a_leader_that_hears_nobody_sees_that_before_it_judges_anybody() -> None:
+    """Cut off from workers, a leader once released the machines that passed the mark first."""
+    world = World()
+    for number in range(1, 7):
+        world.machine(number)
+    world.settle(3)
+    machines = list(world.cluster.machines.values())
+    report_us = SECOND
+    assert deaf(machines, world.now + 1_400 * MS, report_us) == []
+    assert len(deaf(machines, world.now + 1_600 * MS, report_us)) == 6
+    machines[0].heard_at = world.now + 1_000 * MS
+    assert deaf(machines, world.now + 1_600 * MS, report_us) == []
+    now = world.now + 4 * SECOND
+    quiet = silent(machines, now, 5 * SECOND // 2)
+    assert silent(machines, now, 5 * SECOND) == [] and cut_off(len(quiet), machines)
+
+
+async def test_a_handover_whose_answer_is_lost_leaves_the_leader_in_doubt(state: FakeState) -> None:
+    """The other node may replace the key while this one's lease is renewed."""
+    lead, _, _ = leader(state)
+    node = Node(node_settings(), Tuning())
+    node.lead = lead
+    peer = FakePeer(None)
+    peer.name = "n1"  # type: ignore[attr-defined]
+    assert lead.entitled()
+    with pytest.raises(NoAnswer):
+        await node._hand_over(lead, peer)  # type: ignore[arg-type]
+    assert not lead.entitled()
+    peer.answer = ["no"]
+    await node._hand_over(lead, peer)  # type: ignore[arg-type]
+    assert lead.entitled()
+
+
+async def test_a_handover_agreed_to_before_a_freeze_is_off_after_it(state: FakeState) -> None:
+    node = Node(node_settings(), Tuning())
+    client = FakeStateClient(state)
+    node.state = client  # type: ignore[assignment]
+    state.commit({"if": [], "then": [{"set": "leader", "value": {"node": "n1", "boot": "x", "lease": 1}}]})
+    assert await node._on_handover(["handover", state.revision]) == ["ok"]
+    node._take_until -= 10 * SECOND  # it stood still before it came to that
+    await node._stand()
+    assert node.lead is None
+    assert state.get("leader")[1]["value"]["node"] == "n1"
+    await asyncio.sleep(0)
