--- /dev/null
+++ b/oatport/control/work.py
@@ -0,0 +1,284 @@
+"""Jobs, and the machines that their tasks are on: claimed, placed, stopped, lost and done."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from oatport import wire
+from oatport.control import faults
+from oatport.control.model import PRIORITIES, Job, Kind, Machine, Phase, Task, allowed_types
+from oatport.control.predictor import Predictor
+from oatport.control.records import Records, cancel_key, live_key
+from oatport.control.router import SPOT, Router
+from oatport.settings import ClusterSettings, Team, Tuning
+from oatport.times import SECOND, micros
+
+
+@dataclass(slots=True)
+class TeamUse:
+    """What a team's tasks take; those not proven gone count (rule `quota`)."""
+
+    limits: Team
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+    def room(self, spec: wire.Submission) -> int:
+        """How many more tasks of a job the team's limit allows."""
+        count = spec.tasks
+        if self.limits.cpus_max > 0:
+            count = min(count, int((self.limits.cpus_max - self.cpus + 1e-9) // spec.cpus))
+        if self.limits.gpus_max > 0 and spec.gpus > 0:
+            count = min(count, int((self.limits.gpus_max - self.gpus + 1e-9) // spec.gpus))
+        return max(count, 0)
+
+    def beyond_guarantee(self) -> bool:
+        return self.cpus > self.limits.cpus + 1e-9 or self.gpus > self.limits.gpus + 1e-9
+
+
+class Work(Records):
+    """The part of the leader's view that is about jobs; `Cluster` adds the machines."""
+
+    def __init__(
+        self, token: int, settings: ClusterSettings, tuning: Tuning, types: dict[str, wire.MachineType],
+        predictor: Predictor,
+    ) -> None:
+        super().__init__(predictor)
+        self.token = token
+        self.settings = settings
+        self.tuning = tuning
+        self.types = types
+        self.types_seen = 0  # goes up when the catalog changes
+        self.router = Router(
+            predictor, tuning.us("spot_threshold_s"), tuning.slack_factor, tuning.threshold_percentile,
+            tail_factor=tuning.tail_factor,
+        )
+        self.start_aims = {aim.job_class: micros(aim.within_s) for aim in settings.objectives if aim.kind == "wait"}
+        self.router.start_aims = self.start_aims
+        # class -> the multiples of its jobs' deadlines that users look at, the nearest first
+        self.deadline_aims: dict[str, tuple[float, ...]] = {}
+        self.finish_aims: dict[str, tuple[int, ...]] = {}  # class -> how soon its jobs should be done
+        for aim in sorted(settings.objectives, key=lambda a: a.times):
+            if aim.kind == "finished":
+                within = micros(aim.within_s)
+                self.finish_aims[aim.job_class] = (*self.finish_aims.get(aim.job_class, ()), within)
+            if aim.kind == "deadline":
+                self.deadline_aims[aim.job_class] = (*self.deadline_aims.get(aim.job_class, ()), aim.times)
+        self.waiting: set[Job] = set()
+        self.released: set[str] = set()  # names that a release answered: gone for good
+        self.teams = {team.name: TeamUse(team) for team in settings.teams}
+        self.spent: defaultdict[str, float] = defaultdict(float)  # money by what machines did
+        self._accounted_at = 0
+        self.replica_us = 0  # time that replicas were on machines, all in all
+        self.moved_us = 0  # and what they missed by being moved
+        self.now = 0  # the time of the last event or pass
+        self.report_us = micros(settings.workers.report_s)
+        self.fresh_us = 2 * self.report_us + SECOND
+        self.usable_now: list[Machine] = []
+        self.dark: dict[str, int] = {}  # zones that nothing is heard from -> since when
+        self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
+
+    # --- jobs -------------------------------------------------------------------------------
+
+    def add_job(self, ref: str, spec: wire.Submission, version: int, submitted_at: int) -> Job:
+        job = self.jobs.get(ref)
+        if job is None:
+            job = self.jobs[ref] = Job(ref, spec, version, submitted_at)
+            self.versions[live_key(ref)] = version
+            self.waiting.add(job)
+            self.replan = True
+        return job
+
+    def cancel_job(self, ref: str, mark_version: int) -> None:
+        """Its user was told that it is cancelled: nothing starts any more, all its tasks must go."""
+        job = self.jobs.get(ref)
+        if job is None:
+            return
+        if mark_version:
+            self.versions[cancel_key(ref)] = mark_version
+        if job.cancelled:
+            return
+        job.cancelled = True
+        self.waiting.discard(job)
+        self.to_finish.pop(job, None)
+        for task in list(job.tasks.values()):
+            if task.phase is Phase.CLAIMED:
+                self.unassign(task)
+            elif task.phase is Phase.PLACED:
+                self.stop(task, 0.0)
+        self._clean_if_gone(job)
+
+    def _clean_if_gone(self, job: Job) -> None:
+        if job.cancelled and job.on_machines == 0 and job.strays == 0:
+            self.to_clean[job] = None
+
+    def drop_job(self, job: Job) -> None:
+        self.jobs.pop(job.ref, None)
+        self.waiting.discard(job)
+        self.predictor.forget_job(job.ref)
+        left = set(self.orphans)  # their versions are still needed
+        for key in [k for k in self._job_keys(job) if k in self.versions and k not in left]:
+            self.versions.pop(key, None)
+            self.urgent.pop(key, None)
+            self.dirty.pop(key, None)
+
+    # --- tasks on machines ------------------------------------------------------------------
+
+    def assign(self, task: Task, machine: Machine) -> None:
+        job, spec = task.job, task.job.spec
+        task.machine = machine
+        machine.tasks.add(task)
+        machine.take(spec.cpus, spec.gpus, spec.memory_gb)
+        machine.rank_cpus[job.rank] += spec.cpus
+        self.rank_tasks[job.rank] += 1
+        if job.kind is Kind.SERVICE:
+            machine.steady_cpus += spec.cpus
+        job.on_machines += 1
+        job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
+        use = self.teams.get(spec.team)
+        if use:
+            use.cpus += spec.cpus
+            use.gpus += spec.gpus
+
+    def unassign(self, task: Task) -> None:
+        """The task is on no machine: it never got there, or is proven gone."""
+        job, spec, machine = task.job, task.job.spec, task.machine
+        assert machine is not None
+        machine.tasks.discard(task)
+        machine.give(spec.cpus, spec.gpus, spec.memory_gb)
+        machine.rank_cpus[job.rank] -= spec.cpus
+        self.rank_tasks[job.rank] -= 1
+        if job.kind is Kind.SERVICE:
+            machine.steady_cpus -= spec.cpus
+        job.on_machines -= 1
+        job.zones[machine.zone] -= 1
+        if not job.zones[machine.zone]:
+            del job.zones[machine.zone]
+        if spec.gpus > 0 and machine.free_gpus >= machine.type.gpus - 1e-9:
+            machine.gpus_idle_since = self.now
+        use = self.teams.get(spec.team)
+        if use:
+            use.cpus -= spec.cpus
+            use.gpus -= spec.gpus
+        task.to_pending()
+        self.replan = True
+
+    def requeue(self, task: Task, *, lost: bool) -> None:
+        """A task that left its machine without being done wants another."""
+        job = task.job
+        if task.machine is not None:
+            self.unassign(task)
+        job.again.append(task.index)
+        if lost:
+            job.lost += 1
+        self.touch(task)
+        if job.cancelled:
+            self._clean_if_gone(job)
+            return
+        self.waiting.add(job)
+        if job.kind is Kind.GANG:
+            self._gang_lost_task(job)
+
+    def _gang_lost_task(self, job: Job) -> None:
+        """A gang runs whole or not: what is left of this attempt is called off.
+
+        Running tasks exit with `mates_gone` by themselves and a stopped one would do no harm; if one
+        task is done all are, so with done ones the rest are left to report it.
+        """
+        if job.done:
+            return
+        for task in list(job.tasks.values()):
+            if task.phase is Phase.PLACED and task.status in ("", wire.FETCHING, wire.WAITING):
+                self.stop(task, 0.0)
+
+    def claim(self, job: Job, machine: Machine, now: int, attempt: int | None = None) -> Task:
+        task = job.take_pending()
+        task.attempt = attempt if attempt is not None else task.attempt + 1
+        task.phase = Phase.CLAIMED
+        task.claimed_at = now
+        job.hungry_since = 0
+        self.assign(task, machine)
+        machine.images.setdefault(job.spec.image, now)
+        machine.idle_since = 0
+        self.touch(task, urgent=True)
+        if not job.pending:
+            self.waiting.discard(job)
+        return task
+
+    def stop(self, task: Task, grace_s: float) -> None:
+        """Have a placed task leave its machine; repeated until a report shows it gone."""
+        if task.stopping is not None and grace_s >= task.stopping:
+            return
+        if task.claimed_at and not task.sent_session:
+            # Committed by this leader, but its start never went out: it is nowhere.
+            job = task.job
+            self.unassign(task)
+            job.again.append(task.index)
+            self.touch(task)
+            if job.cancelled:
+                self._clean_if_gone(job)
+            else:
+                self.waiting.add(job)
+            return
+        task.stopping = grace_s
+        if task.machine is not None:
+            self.to_send.add(task.machine)
+
+    def finish_task(self, task: Task, now: int, *, measured: bool = True) -> None:
+        job = task.job
+        machine = task.machine
+        # What an earlier leader started seems to run only since this one first heard of it.
+        if measured and task.claimed_at and task.running_since and job.kind is not Kind.SERVICE and not task.stopping:
+            took = now - task.running_since
+            if machine is not None:
+                self._learn_speed(machine, took, self.predictor.run_time(job.ref, job.spec))
+            self.predictor.finished(job.ref, job.spec, took)
+        if machine is not None:
+            faults.task_done(job, machine, self.machines, now)
+            self.unassign(task)
+        job.tasks.pop(task.index, None)
+        job.done.add(task.index)
+        self.touch(task)
+        if job.cancelled:
+            self._clean_if_gone(job)
+        elif len(job.done) >= job.spec.tasks and not job.finishing:
+            job.finishing = True
+            self.waiting.discard(job)
+            self.to_finish[job] = None
+
+    @staticmethod
+    def _learn_speed(machine: Machine, took: int, predicted: int) -> None:
+        if predicted > 0:
+            machine.slow_count += 1
+            machine.slow += (min(took / predicted, 10.0) - machine.slow) / min(machine.slow_count, 4)
+
+    # --- where a job may run ----------------------------------------------------------------
+
+    def learn_types(self, types: dict[str, wire.MachineType]) -> None:
+        """The catalog as it is now."""
+        self.types.clear()
+        self.types.update(types)
+        self.types_seen += 1
+
+    def allowed(self, job: Job) -> list[wire.MachineType]:
+        """Machine types that can run a job, found once a catalog."""
+        if job.allowed is None or job.allowed[0] != self.types_seen:
+            job.allowed = (self.types_seen, allowed_types(job.spec, self.types))
+        return job.allowed[1]
+
+    def suited(self, job: Job) -> list[wire.MachineType]:
+        """Those it is meant for: machines with GPUs are for work that needs them, or has no other place."""
+        types = self.allowed(job)
+        if job.spec.gpus > 0:
+            return types
+        return [kind for kind in types if kind.gpus == 0] or types
+
+    def takes_free_spot(self, job: Job) -> bool:
+        """Routed to spot; or long work that loses little there and is expected to start soon.
+
+        Such a gang waited for an ordinary machine to boot while a spot one stood by, kept for its like.
+        """
+        if job.tier in (SPOT, ""):
+            return True
+        spec = job.spec
+        return spec.spot and spec.checkpoint_s > 0 and spec.gpus > 0 and spec.job_class in self.start_aims
