--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -157,13 +157,14 @@
     ]
 
 
-def deaf(machines: list[Machine], now: int, report_us: int) -> list[Machine]:
+def deaf(machines: list[Machine], now: int, report_us: int, began: int) -> list[Machine]:
     """All machines, if none of several was heard for longer than the time between two reports of any of them.
 
     With many machines that takes a moment to see: a leader cut off from workers need not wait as long as for one.
+    One that has just begun asks them all at once.
     """
-    up = [m for m in machines if m.up_at and not m.releasing]
-    if len(up) < DARK_LEAST or any(now - m.heard_at <= report_us * 3 // 2 for m in up):
+    up = [m for m in machines if (m.up_at or m.was_up) and not m.releasing]
+    if len(up) < DARK_LEAST or any(now - max(m.heard_at, began) <= report_us * 3 // 2 for m in up):
         return []
     return up
 
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -212,7 +212,7 @@
                 if not machine.probing and now - machine.probed_at > 1_500 * MS and machine.address:
                     machine.probing, machine.probed_at = True, now
                     self.group.once("probe", self._probe(machine))
-            unheard = deaf(machines, now, self.cluster.report_us)
+            unheard = deaf(machines, now, self.cluster.report_us, self._lead.began)
             if unheard and now - asked_at > silent_us // 2:
                 asked_at = now
                 await self._gives_way(unheard)
@@ -251,6 +251,7 @@
             return False, most_lost
         if helper is not None:
             log.warning("%d machines are silent to me but not to %s", len(machines), helper)
+            self.home.cut_off_from([m.address for m in machines if m.address][:OWN_PROBES])
             self.home.lost_lead(f"cut off from workers; {helper} sees them")
         return helper is not None, most_lost
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -44,6 +44,7 @@
     display: dict[str, tuple[int, int]]
 
     def lost_lead(self, why: str) -> None: ...
+    def cut_off_from(self, addresses: list[str]) -> None: ...
 
 
 class Deposed(Exception):
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -27,6 +27,8 @@
 PING_EVERY = 700 * MS
 SERVED_FRESH = 2 * SECOND
 STAND_BACK = 6 * SECOND  # after giving the lead up, let others take it
+DEFER_NEXT_DOWN = 200 * MS
+DEFER_CUT_OFF = 1_500 * MS
 TAKE_WITHIN = 2 * SECOND  # a handover that was agreed to is off after this
 
 
@@ -52,6 +54,7 @@
         self._cancel_told_at = 0
         self._peer_served: dict[str, tuple[bool, int]] = {}  # peer -> (served, as of)
         self._ever_served = False
+        self._unreached: list[str] = []  # workers that it could not reach as the leader, while another node did
 
     # --- lifecycle --------------------------------------------------------------------------
 
@@ -170,16 +173,7 @@
 
     async def _on_probe(self, message: Message) -> Message:
         """Which of these workers can this node reach? And does the state service answer it?"""
-
-        async def reach(address: str) -> bool:
-            try:
-                await WorkerClient(self._session, address).show()
-            except NoAnswer:
-                return False
-            return True
-
-        seen = await asyncio.gather(*(reach(str(address)) for address in message[1][:50]))
-        return ["seen", sum(seen), self.served()]
+        return ["seen", await self._reaches([str(address) for address in message[1][:50]]), self.served()]
 
     async def _on_handover(self, message: Message) -> Message:
         token = int(message[1])
@@ -329,11 +323,41 @@
             if self.lead is not None or steady() < self._stand_back_until:
                 continue
             try:
+                if self._leader is None:
+                    await asyncio.sleep(seconds(await self._deference()))
                 await self._stand()
             except (NoAnswer, Refused, NoLease) as error:
                 log.debug("election: %s", error)
                 await asyncio.sleep(jitter(200 * MS))
 
+    async def _deference(self) -> int:
+        """How long to let the others go first, where they can do more as the leader."""
+        if self._unreached:
+            if not await self._reaches(self._unreached):
+                return DEFER_CUT_OFF
+            self._unreached = []
+        # Workers that lose the leader go on to the next node. If that one is down too, they wait for both in turn,
+        # for as long as their lease lasts.
+        names = sorted([self.node_name, *self.peers])
+        after = names[(names.index(self.node_name) + 1) % len(names)]
+        return 0 if after == self.node_name or after in self._peer_served else DEFER_NEXT_DOWN
+
+    def cut_off_from(self, addresses: list[str]) -> None:
+        """These workers are reached by another node, but not by this one."""
+        self._unreached = addresses
+
+    async def _reaches(self, addresses: list[str]) -> int:
+        """How many of these workers this node can reach."""
+
+        async def reach(address: str) -> bool:
+            try:
+                await WorkerClient(self._session, address).show()
+            except NoAnswer:
+                return False
+            return True
+
+        return sum(await asyncio.gather(*(reach(address) for address in addresses)))
+
     async def _stand(self) -> None:
         """Become the leader if there is none, or if the one there is handed over."""
         found = await self.state.get(LEADER_KEY)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -50,6 +50,9 @@
     def lost_lead(self, why: str) -> None:
         self.lost.append(why)
 
+    def cut_off_from(self, addresses: list[str]) -> None:
+        pass
+
 
 def leader(state: FakeState) -> tuple[Lead, FakeStateClient, Home]:
     token = state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n0"}}]})[1]["ledgerRev"]
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -153,10 +153,11 @@
     world.settle(3)
     machines = list(world.cluster.machines.values())
     report_us = SECOND
-    assert deaf(machines, world.now + 1_400 * MS, report_us) == []
-    assert len(deaf(machines, world.now + 1_600 * MS, report_us)) == 6
+    assert deaf(machines, world.now + 1_400 * MS, report_us, 0) == []
+    assert len(deaf(machines, world.now + 1_600 * MS, report_us, 0)) == 6
+    assert deaf(machines, world.now + 1_600 * MS, report_us, world.now + SECOND) == []  # it has just begun
     machines[0].heard_at = world.now + 1_000 * MS
-    assert deaf(machines, world.now + 1_600 * MS, report_us) == []
+    assert deaf(machines, world.now + 1_600 * MS, report_us, 0) == []
     now = world.now + 4 * SECOND
     quiet = silent(machines, now, 5 * SECOND // 2)
     assert silent(machines, now, 5 * SECOND) == [] and cut_off(len(quiet), machines)
@@ -189,3 +190,28 @@
     assert node.lead is None
     assert state.get("leader")[1]["value"]["node"] == "n1"
     await asyncio.sleep(0)
+
+
+async def test_a_node_that_others_can_better_lets_them_go_first(state: FakeState) -> None:
+    """Frozen leader, next node down: workers waited for both in turn until their leases had ended.
+
+    And one that was cut off from workers took the lead again and again while another could reach them.
+    """
+    node = Node(node_settings(), Tuning())
+    reached: list[str] = []
+
+    async def reaches(addresses: list[str]) -> int:
+        return len(reached)
+
+    node._reaches = reaches  # type: ignore[method-assign]
+    node.peers = {"n1": FakePeer(None), "n2": FakePeer(None)}  # type: ignore[dict-item]
+    node._peer_served = {"n2": (True, 0)}
+    alone = await node._deference()  # n1 comes after n0, and does not answer
+    node._peer_served = {"n1": (True, 0)}
+    assert await node._deference() == 0 < alone
+    node.cut_off_from(["h:1"])
+    assert await node._deference() > alone
+    reached.append("h:1")
+    assert await node._deference() == 0
+    reached.clear()
+    assert await node._deference() == 0  # the cut is over, that is not asked again
