--- a/oatport/api/intake.py
+++ b/oatport/api/intake.py
@@ -13,6 +13,7 @@
 
 TRIES = (700 * MS, 400 * MS)  # the state service mostly takes 10 ms, at times a few hundred
 WAITING_MOST = 100
+IDLE_SHARE = 0.4
 AT_ONCE = 4
 SENT_WITHIN = 150 * MS
 BYTES_MOST = 24 * 1024  # of records in one transaction: well below its limit
@@ -102,10 +103,13 @@
 
 
 class Share:
-    """What idle work may take of the budget for writes, so that the rest always finds some."""
+    """What idle work may take of the budget for writes at each node, so that the rest always finds some.
 
-    def __init__(self, write_rps: float, nodes: int) -> None:
-        self._bucket = Bucket(IDLE_SHARE * write_rps / ACCEPT_KEYS / max(nodes, 1))
+    Not divided by the nodes: two may have to serve for three, and connections are not spread evenly.
+    """
+
+    def __init__(self, write_rps: float) -> None:
+        self._bucket = Bucket(IDLE_SHARE * write_rps / ACCEPT_KEYS)
 
     def take(self) -> bool:
         if self._bucket.available() < 1:
@@ -113,5 +117,3 @@
         self._bucket.take()
         return True
 
-
-IDLE_SHARE = 0.7
--- a/oatport/api/users.py
+++ b/oatport/api/users.py
@@ -45,7 +45,7 @@
         self._slots = Slots(SLOTS)
         self._view = JobView(state, self._slots, limits.rps)
         self._intake = Intake(state, limits.txn_ops)
-        self._idle_share = Share(limits.write_rps, settings.cluster.size)
+        self._idle_share = Share(limits.write_rps)
         self._busy = 0
 
     async def handle(self, method: str, path: str, body: BodyReader) -> Answer:
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -74,7 +74,7 @@
         self.loaded = False
         self.over = False
         self.keeper = FleetKeeper(self, session)
-        self._writes = Bucket(limits.state.write_rps * 0.95)
+        self._writes = Bucket(limits.state.write_rps * 0.85)  # the rest is for users' requests
         self._txn_ops = limits.state.txn_ops
         self._plan_wanted = asyncio.Event()
         self._write_wanted = asyncio.Event()
