--- a/oatport/__init__.py
+++ b/oatport/__init__.py
@@ -1,3 +1,3 @@
 """oatport: a cluster scheduler for rented machines."""
 
-__version__ = "0.2.0"
+__version__ = "0.3.0"
