--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -180,7 +180,7 @@
 
     async def _on_handover(self, message: Message) -> Message:
         token = int(message[1])
-        if steady() > self._stand_back_until:
+        if steady() > self._stand_back_until and not self._unreached:
             try:
                 # Asked just now: at the start of an outage for all, what was known a moment ago is wrong,
                 # and without a leader nobody would keep the workers' leases alive until it ends.
@@ -417,6 +417,7 @@
             return
         self._take_from = 0
         self._leader, self._leader_token = self.node_name, token
+        self._next_heard = steady()
         lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at)
         self.lead = lead
         try:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -75,6 +75,9 @@
     client.faults = ["refuse"]
     assert await node._on_handover(["handover", 5]) == ["no"]
     assert await node._on_handover(["handover", 5]) == ["ok"]
+    # A leader gave up to a node that had been cut off from the workers a moment ago.
+    node.cut_off_from(["h:1"])
+    assert await node._on_handover(["handover", 6]) == ["no"]
 
 
 async def test_a_lost_answer_to_a_leaders_commit_is_resolved(state: FakeState) -> None:
