Guests give way at once: no queue is estimated and no machine rented for what they free

Also: a new machine's record waited behind a swarm's claims; short idle work may use owned room until it is returned.

--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -7,7 +7,7 @@
 
 from oatport.control.cluster import Cluster
 from oatport.control.fleet import Fleet
-from oatport.control.model import Job, Kind
+from oatport.control.model import IDLE_RANK, Job, Kind
 from oatport.control.records import chunk_key
 from oatport.control.router import OWNED, SPOT
 from oatport.times import SECOND, micros
@@ -22,12 +22,14 @@
     left_total: float = 0.0
     owned: float = 0.0
     left_owned: float = 0.0
+    idle: float = 0.0  # of tasks of the lowest priority, which give way to all others
 
     def add(self, other: _Pool) -> None:
         self.total += other.total
         self.left_total += other.left_total
         self.owned += other.owned
         self.left_owned += other.left_owned
+        self.idle += other.idle
 
 
 def _pools_by_type(cluster: Cluster, now: int) -> dict[str, _Pool]:
@@ -37,7 +39,7 @@
     for machine in cluster.machines.values():
         if machine.draining or machine.releasing or machine.taken_at:
             continue
-        cpus, left = machine.type.cpus, 0.0
+        cpus, left, idle = machine.type.cpus, 0.0, 0.0
         if not machine.up_at:
             # One that boots is room from then on: without it, a wave of work would rent on-demand what
             # the spot machines rented a moment ago are about to do.
@@ -50,10 +52,14 @@
                 cpus -= task.job.spec.cpus
             else:
                 ran = now - task.running_since if task.running_since else 0
-                left += max(predictor.run_time(task.job.ref, task.job.spec) - ran, 0) * task.job.spec.cpus
+                work = max(predictor.run_time(task.job.ref, task.job.spec) - ran, 0) * task.job.spec.cpus
+                if task.job.rank == IDLE_RANK:
+                    idle += work
+                else:
+                    left += work
         spot = machine.spot
         pools.setdefault(machine.type.name, _Pool()).add(
-            _Pool(cpus, left, 0.0 if spot else cpus, 0.0 if spot else left)
+            _Pool(cpus, left, 0.0 if spot else cpus, 0.0 if spot else left, idle)
         )
     return pools
 
@@ -146,7 +152,8 @@
         # A gang's tasks run all at once: owned room too small for that is none.
         least = job.spec.cpus * job.pending if job.kind is Kind.GANG else 1.0
         waits[job] = (
-            round(pool.left_total / pool.total) if pool.total > 0 else 600 * SECOND,
+            round((pool.left_total + (pool.idle if job.rank == IDLE_RANK else 0.0)) / pool.total)
+            if pool.total > 0 else 600 * SECOND,
             round(pool.left_owned / pool.owned) if pool.owned >= least else None,
         )
     return waits
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -139,7 +139,10 @@
             machine.up_at = machine.gpus_idle_since = now
             if not machine.tasks:
                 machine.idle_since = now
-            self.dirty[self.fleet_key(machine)] = None
+            if machine.recorded:
+                self.dirty[self.fleet_key(machine)] = None
+            else:
+                self.urgent[self.fleet_key(machine)] = 0  # nothing is placed on it before
             self.replan = True
         if machine.token != report.token or new_session:
             self.replan = True
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -130,19 +130,22 @@
         return _Room(kind, zone, spot, kind.cpus, kind.gpus, kind.memory_gb)
 
     def _freeing(self, now: int) -> list[float]:
-        """CPUs that running tasks are predicted to free before a rented machine could be up."""
+        """CPUs that running tasks will free before a rented machine could be up, and those that idle work gives up."""
         cluster = self.cluster
         boot = min((micros(t.boot_s) for t in cluster.types.values()), default=30 * SECOND)
-        cpus = 0.0
+        cpus = given_way = 0.0
         for machine in cluster.usable_now:
             for task in machine.tasks:
                 job = task.job
+                if job.rank == IDLE_RANK and not job.spec.gpus:
+                    given_way += job.spec.cpus
+                    continue
                 if job.kind is Kind.SERVICE or not task.running_since or job.spec.gpus:
                     continue
                 left = cluster.predictor.run_time(job.ref, job.spec) - (now - task.running_since)
                 if left < boot:
                     cpus += job.spec.cpus
-        return [cpus]
+        return [cpus, given_way]
 
     def _cover(
         self, job: Job, coming: list[_Room], freeing: list[float],
@@ -163,6 +166,10 @@
             absorbed = min(left, int(freeing[0] // spec.cpus))
             freeing[0] -= absorbed * spec.cpus
             left -= absorbed
+            if job.rank < IDLE_RANK and spot:
+                absorbed = min(left, int(freeing[1] // spec.cpus))
+                freeing[1] -= absorbed * spec.cpus
+                left -= absorbed
         suited = {kind.name for kind in cluster.suited(job)}
         for room in coming:
             if left <= 0:
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -15,6 +15,7 @@
 CLAIMS_AHEAD = 24  # claims not yet written, beyond which a swarm's wait
 PREEMPT_PAUSE = 4 * SECOND
 VAIN_PAUSE = SECOND // 2
+IDLE_PAUSE = SECOND
 WARM_AFTER = 8 * SECOND  # an image claimed for that long is taken to be fetched
 WARM_WAIT = SECOND * 7 // 10  # how long a replica waits for room to be made where its image is
 
@@ -162,15 +163,18 @@
         # those who need the GPUs, or kept at their price for work that any machine can do.
         no_gpus = self._elsewhere(job)
         on_spot = self.cluster.takes_free_spot(job)
-        # Idle work fills owned room beside replicas; an owned machine of its own would be kept for it, at two to
-        # three times the price of the spot room that it may use.
-        beside = job.rank == IDLE_RANK and spec.spot and not spec.gpus and job.tier == SPOT
+        # Long idle work fills owned room beside replicas; an owned machine of its own would be kept for it, at two
+        # to three times the price of the spot room that it may use.
+        long = (
+            job.rank == IDLE_RANK and spec.spot and not spec.gpus and job.tier == SPOT
+            and self.cluster.predictor.run_time(job.ref, spec) > self.cluster.tuning.us("idle_s")
+        )
         errors = job.error_machines if len(machines) > len(job.error_machines) else ()
         return [
             m for m in machines
             if m.fits(spec) and (on_spot or not m.spot) and machine_allowed(job, m)
             and not (no_gpus and m.type.gpus > 0 and not self.cluster.fills(job, m, self.cluster.now))
-            and not (beside and not m.spot and m.steady_cpus <= 0)
+            and not (long and not m.spot and m.steady_cpus <= 0)
             and m.name not in errors
         ]
 
@@ -298,9 +302,12 @@
         """
         if job.preempt_after > now or job.suspect:
             return
-        wanted = 1 if job.kind is Kind.GANG else min(job.pending, 8)
+        # Idle work gives way at once; of others a few are stopped at a time.
+        idle = self.cluster.rank_tasks[IDLE_RANK] > 0 and not self._for_guarantee(job, now)
+        wanted = 1 if job.kind is Kind.GANG else min(job.pending, 64 if idle else 8)
         found = self._cheapest_victims(job, usable, wanted, now)
-        job.preempt_after = now + (PREEMPT_PAUSE if found else pause)
+        only_idle = all(victim.job.rank == IDLE_RANK for victim in found)
+        job.preempt_after = now + (pause if not found else IDLE_PAUSE if only_idle else PREEMPT_PAUSE)
         for victim in found:
             grace = victim.job.spec.save_s + 1.0 if victim.job.spec.checkpoint_s > 0 else 0.0
             mates = victim.job.tasks.values() if victim.job.kind is Kind.GANG else (victim,)
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -96,3 +96,41 @@
     world.placer._fitting = counted  # type: ignore[method-assign, assignment]
     world.plan()
     assert len(looked) <= 30  # one that found no room speaks for all that need as much
+
+
+def test_guests_give_way_at_once_and_nothing_is_rented_for_what_they_free() -> None:
+    """An array got room for eight tasks in four seconds, and ordinary machines were rented for the rest."""
+    world = World([Team("crew", cpus=8.0), Team("guests")])
+    for number in range(1, 11):
+        world.machine(number, spot=True)
+    world.settle(2)
+    world.submit(ref="j-000001", legs=40, voyageS=300.0, **IDLE)
+    world.settle()
+    array = world.submit(ref="j-000002", legs=16, tideS=70.0)
+    world.plan()
+    assert not world.fleet.wanted(world.now)
+    world.settle(5)  # a task a machine each second
+    assert len(world.live(array)) == 16
+
+
+def test_short_idle_work_may_use_owned_room_until_it_is_returned() -> None:
+    world = World(TEAMS)
+    world.machine(1)
+    world.settle()
+    ref = world.submit(legs=4, voyageS=5.0, **IDLE)
+    world.settle()
+    assert len(world.live(ref)) == 4
+
+
+def test_a_new_machine_is_written_down_before_a_swarms_claims() -> None:
+    world = World(TEAMS)
+    for number in range(1, 3):
+        world.machine(number, spot=True)
+    world.settle(2)
+    for number in range(20):
+        world.submit(ref=f"j-{number:06d}", legs=1, memoryGb=0.5, **{**IDLE, "cores": 0.25})
+    world.plan()
+    world.machine(50, spot=True)
+    world.report(world.workers["vm-000050"])
+    batch = world.cluster.take_batch(4)
+    assert next(iter(batch.sets)).startswith("fleet/")
