--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -199,6 +199,7 @@
     running = [
         now - t.running_since for m in cluster.machines.values() for t in m.tasks
         if t.running_since and t.claimed_at and t.job.kind is not Kind.SERVICE and not t.job.suspect
+        and t.job.rank < IDLE_RANK
     ]
     cluster.router.learn(ages, running)
     mark_guaranteed(cluster)
--- a/oatport/control/predictor.py
+++ b/oatport/control/predictor.py
@@ -16,6 +16,7 @@
 
 SEED_WEIGHT = 5.0  # how many finished tasks the owner's estimate is worth
 FEW_TAKEN = 4
+IDLE = "idle"
 RECENT = 1000  # run times that the threshold is read off
 MEMORY = 200  # old tasks fade, so that a day of too high estimates is followed
 
@@ -49,7 +50,10 @@
     def finished(self, ref: str, spec: wire.Submission, took: int) -> None:
         """A task ran from start to end in `took`."""
         self.changed = True
-        self._recent.append(took)
+        if spec.priority != IDLE:
+            # Idle work is for spot whatever its length: a guest's 25,000 tasks of five seconds once sent all else
+            # to steady room.
+            self._recent.append(took)
         self._seen[spec.job_class] = self._seen.get(spec.job_class, 0) + 1
         count, total = self._job.get(ref, (0, 0))
         self._job[ref] = (count + 1, total + took)
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -4,6 +4,7 @@
 
 from oatport.control.router import SPOT
 from oatport.settings import Team
+from oatport.times import SECOND
 from tests.world import World
 
 TEAMS = [Team("crew", cpus=8.0, cpus_max=32.0), Team("guests")]
@@ -134,3 +135,16 @@
     world.report(world.workers["vm-000050"])
     batch = world.cluster.take_batch(4)
     assert next(iter(batch.sets)).startswith("fleet/")
+
+
+def test_guests_tasks_do_not_set_the_threshold() -> None:
+    world = World(TEAMS)
+    world.machine(1, spot=True)
+    world.settle(2)
+    guest = world.cluster.jobs[world.submit(ref="j-000001", legs=50, voyageS=2.0, **IDLE)]
+    world.settle(30)
+    assert len(guest.done) > 20
+    assert world.cluster.router.threshold == 120 * SECOND
+    array = world.cluster.jobs[world.submit(ref="j-000002", legs=2, voyageS=30.0)]
+    world.settle(2)
+    assert array.tier == SPOT
