--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -294,13 +294,15 @@
 
     # --- surplus ----------------------------------------------------------------------------
 
-    def mark_surplus(self, now: int) -> None:
+    def mark_surplus(self, now: int) -> bool:
         """Let owned machines run empty whose work free spot room could take.
 
         Free owned room comes first, so without this an owned machine rented in a rush would be kept
-        busy for ever by work that may use spot, while spot machines idle and go back.
+        busy for ever by work that may use spot, while spot machines idle and go back. True if some that were
+        surplus are needed again: what waits may have room on them.
         """
         cluster = self.cluster
+        before = [m for m in cluster.machines.values() if m.surplus]
         spot_room = sum(m.free_cpus for m in cluster.usable_now if m.spot and m.type.gpus == 0)
         steady_need = self._warm_cpus()
         for job in cluster.waiting:
@@ -337,6 +339,7 @@
                 machine.surplus = True
             else:
                 machine.surplus = False
+        return any(not machine.surplus and not machine.gone for machine in before)
 
     # --- moving replicas together ---------------------------------------------------------------
 
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -163,18 +163,15 @@
         # those who need the GPUs, or kept at their price for work that any machine can do.
         no_gpus = self._elsewhere(job)
         on_spot = self.cluster.takes_free_spot(job)
-        # Long idle work fills owned room beside replicas; an owned machine of its own would be kept for it, at two
-        # to three times the price of the spot room that it may use.
-        long = (
-            job.rank == IDLE_RANK and spec.spot and not spec.gpus and job.tier == SPOT
-            and self.cluster.predictor.run_time(job.ref, spec) > self.cluster.tuning.us("idle_s")
-        )
+        # Idle work fills owned room beside replicas; an owned machine of its own would be kept for it, at two to
+        # three times the price of the spot room that it may use.
+        beside = job.rank == IDLE_RANK and spec.spot and not spec.gpus and job.tier == SPOT
         errors = job.error_machines if len(machines) > len(job.error_machines) else ()
         return [
             m for m in machines
             if m.fits(spec) and (on_spot or not m.spot) and machine_allowed(job, m)
             and not (no_gpus and m.type.gpus > 0 and not self.cluster.fills(job, m, self.cluster.now))
-            and not (long and not m.spot and m.steady_cpus <= 0)
+            and not (beside and not m.spot and m.steady_cpus <= 0)
             and m.name not in errors
         ]
 
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -70,6 +70,7 @@
 
     async def rent_loop(self) -> None:
         catalog_at = moved_at = 0
+        reopened = False
         while not self._lead.over:
             await asyncio.sleep(0.3)
             now = self._lead.now()
@@ -77,7 +78,9 @@
                 catalog_at = now
                 self.group.once("catalog", self.catalog())
             if self._settled(now) and not self._lead.stalled(now):
-                self.fleet.mark_surplus(now)
+                # What waits is placed on reopened machines first: more than what they take was once rented.
+                reopened = self.fleet.mark_surplus(now) and not reopened
+                self.cluster.replan = self.cluster.replan or reopened
                 if now - moved_at > SECOND:
                     replicas = sum(j.on_machines for j in self.cluster.jobs.values() if j.kind is Kind.SERVICE)
                     self.cluster.replica_us += replicas * (now - moved_at) if moved_at else 0
@@ -87,7 +90,8 @@
                     self._lead.wake()
                 # Few at a time: a queue of requests that the cloud will refuse holds up those it would
                 # fill, and by the time they get there nobody wants them.
-                for rental in self.fleet.wanted(now)[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
+                rentals = [] if reopened else self.fleet.wanted(now)
+                for rental in rentals[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self.rent(rental))
             gone = self.fleet.to_release(now)
