Nobody is stopped for room that is being left; what can wait leaves room in the budget for writes

And a batch of ends that the budget did not hold had the claims behind it wait; a swarm's accepts made a debt that claims waited for.

--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -351,12 +351,18 @@
                 continue
             if not machine.holds(spec) or not machine_allowed(job, machine):
                 continue
+            leaving = [task for task in machine.tasks if task.stopping is not None]
+            if leaving and job.kind is not Kind.GANG:
+                # They may take seconds to save: for that room nobody else is stopped, here or elsewhere.
+                wanted -= machine.room_without(leaving, spec)
             chosen = self._victims_on(machine, job, for_guarantee, now)
             if chosen:
                 # Whoever may preempt is missed while it fetches: that weighs more than the work that is lost.
                 loss = 4 * self._fetch(spec, machine)
                 loss += sum(now - task.running_since for task in chosen if task.running_since)
                 choices.append((loss, len(choices), machine, chosen))
+        if wanted <= 0:
+            return []
         choices.sort(key=lambda choice: choice[:2])
         if job.kind is Kind.GANG:
             return self._whole_gang(job, usable, [(machine, chosen) for _, _, machine, chosen in choices])
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -127,7 +127,7 @@
             self._add_drops(batch, keys, max_ops)
             batch.finished.append(job)
         self._add_urgent(batch, max_ops, IDLE_RANK)
-        if batch.ops and budget is not None:
+        if budget is not None:
             left_urgent = len(self.urgent) + len(self.to_finish)
             max_ops = min(max_ops, max(batch.ops, budget - left_urgent))
         for job in list(self.to_clean):
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -17,7 +17,7 @@
 from oatport.control.model import Kind, Machine
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
 from oatport.control.recovery import cut_off, dark_suspects, deaf, silent
-from oatport.times import MS, SECOND, steady, time_of_day
+from oatport.times import MS, SECOND, seconds, steady, time_of_day
 
 if TYPE_CHECKING:
     from oatport.service.lead import Lead
@@ -51,6 +51,23 @@
         self.group.keep("list", self.list_loop)
         self.group.keep("silence", self.silence_loop)
 
+    def status(self, now: int) -> str:
+        """One line that says how things stand."""
+        machines = list(self.cluster.machines.values())
+        up = [m for m in machines if m.up_at]
+        tiers: dict[str, int] = {}
+        for job in self.cluster.waiting:
+            tiers[job.tier or "?"] = tiers.get(job.tier or "?", 0) + job.pending
+        return (
+            f"machines {len(up)} up ({sum(m.spot for m in up)} spot), {len(machines) - len(up)} not up; "
+            f"cpus {sum(m.type.cpus for m in up):.0f} of which free {sum(m.free_cpus for m in up if not m.spot):.0f} "
+            f"owned {sum(m.free_cpus for m in up if m.spot):.0f} spot; jobs {len(self.cluster.jobs)}; "
+            f"waiting tasks {tiers or 0}; threshold {seconds(self.cluster.router.threshold):.0f} s; "
+            f"rentals under way {len(self.fleet.under_way)}, "
+            f"refused {sum(1 for until in self.fleet.refused.values() if until > now)}; spent "
+            + " ".join(f"{what} {money:.2f}" for what, money in sorted(self.cluster.spent.items()))
+        )
+
     async def catalog(self) -> None:
         """The machine types: from the cloud, kept in the state service for when it is away."""
         try:
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -32,6 +32,7 @@
 log = logging.getLogger(__name__)
 
 END_DELAY = 250 * MS  # ends may wait this long for company in one transaction
+BULK_WAIT = 4 * SECOND  # what can wait does so for no longer, however much is pressing
 WATCH_WAIT = 1_000 * MS
 PLAN_REST = 3  # times as long as a planning pass took, until the next
 
@@ -169,7 +170,9 @@
 
     def _join(self, ref: str, spec: wire.Submission, revision: int, at: int) -> None:
         self.cluster.add_job(ref, spec, revision, at)
-        self._writes.take(ACCEPT_KEYS)  # what nodes wrote to accept it is off the same budget
+        if self._writes.available() > 0:
+            # What nodes wrote to accept it is off the same budget; but a swarm makes no debt that claims wait for.
+            self._writes.take(ACCEPT_KEYS)
 
     async def _watch_loop(self) -> None:
         """Accepted and cancelled jobs, and the moment up to which all cancellations are known."""
@@ -236,18 +239,26 @@
     # --- writing ----------------------------------------------------------------------------
 
     async def _write_loop(self) -> None:
+        bulk_at = steady()
         while not self.over:
             await self._write_wanted.wait()
             self._write_wanted.clear()
             while self.cluster.has_writes() and not self.over:
                 if not self.cluster.has_urgent():
                     await asyncio.sleep(seconds(END_DELAY) if not self.cluster.has_urgent() else 0)
-                batch = self.cluster.take_batch(self._txn_ops, int(self._writes.available()))
+                # What can wait leaves half a second's worth to claims, and to users' requests.
+                now = steady()
+                budget = int(self._writes.available() - self._writes.rate / 2)
+                if now - bulk_at > BULK_WAIT:
+                    budget = self._txn_ops
+                batch = self.cluster.take_batch(self._txn_ops, max(budget, 0))
+                if not self.cluster.dirty or batch.ops > 1:
+                    bulk_at = now
                 if not batch.ops:
                     for job in batch.cleaned + batch.finished:
                         self.cluster.drop_job(job)
                     self.cluster.in_flight = set()
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(0.04)
                     continue
                 await self._writes.spend(batch.ops)
                 await self._commit(batch)
@@ -446,24 +457,7 @@
             self.wake()
             if now - told_at > 10 * SECOND:
                 told_at = now
-                log.info("%s", self._status(now))
-
-    def _status(self, now: int) -> str:
-        """One line that says how things stand."""
-        machines = list(self.cluster.machines.values())
-        up = [m for m in machines if m.up_at]
-        tiers: dict[str, int] = {}
-        for job in self.cluster.waiting:
-            tiers[job.tier or "?"] = tiers.get(job.tier or "?", 0) + job.pending
-        return (
-            f"machines {len(up)} up ({sum(m.spot for m in up)} spot), {len(machines) - len(up)} not up; "
-            f"cpus {sum(m.type.cpus for m in up):.0f} of which free {sum(m.free_cpus for m in up if not m.spot):.0f} "
-            f"owned {sum(m.free_cpus for m in up if m.spot):.0f} spot; jobs {len(self.cluster.jobs)}; "
-            f"waiting tasks {tiers or 0}; threshold {seconds(self.cluster.router.threshold):.0f} s; "
-            f"rentals under way {len(self.keeper.fleet.under_way)}, "
-            f"refused {sum(1 for until in self.keeper.fleet.refused.values() if until > now)}; spent "
-            + " ".join(f"{what} {money:.2f}" for what, money in sorted(self.cluster.spent.items()))
-        )
+                log.info("%s", self.keeper.status(now))
 
     # --- display ----------------------------------------------------------------------------
 
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -156,3 +156,21 @@
     array = world.cluster.jobs[world.submit(ref="j-000002", legs=2, voyageS=30.0)]
     world.settle(2)
     assert array.tier == SPOT
+
+
+def test_nobody_is_stopped_for_room_that_is_being_left() -> None:
+    """While the first saved for 3 s, more were stopped each second, on other machines."""
+    world = World([Team("crew", cpus=8.0), Team("guests")])
+    for number in range(1, 11):
+        world.machine(number, spot=True)
+    world.settle(2)
+    world.submit(ref="j-000001", legs=40, voyageS=300.0, mooringS=30.0, stowS=3.0, **IDLE)
+    world.settle()
+    world.submit(ref="j-000002", legs=2)
+    stopped = set()
+    for _ in range(4):  # nothing is heard meanwhile: they are saving
+        world.now += 1_000_000
+        world.plan()
+        world.plan()
+        stopped |= {t.name for m in world.cluster.machines.values() for t in m.tasks if t.stopping is not None}
+    assert len(stopped) == 4  # 4 CPUs each, of tasks with 2
