--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -63,6 +63,8 @@
             spec = job.spec
             use = cluster.teams.get(spec.team)
             limit = min(job.pending, use.room(spec) if use else 0)
+            if use is not None and limit < (job.pending if job.kind is Kind.GANG else 1):
+                self._make_quota(job, now)
             if job.rank == IDLE_RANK and len(cluster.urgent) > CLAIMS_AHEAD:
                 continue  # room claimed but not written down can't be given to anybody else
             if job.suspect and job.kind is not Kind.GANG:
@@ -312,6 +314,34 @@
                 if mate.phase is Phase.PLACED:
                     self.cluster.stop(mate, grace)
 
+    def _make_quota(self, job: Job, now: int) -> None:
+        """Its team is at its limit: stop the team's own work of lower priority, the youngest first.
+
+        A service once waited 60 s for its team's own arrays.
+        """
+        spec = job.spec
+        if job.preempt_after > now or job.suspect:
+            return
+        cpus = spec.cpus * job.pending
+        gpus = spec.gpus * job.pending
+        use = self.cluster.teams[spec.team]
+        cpus -= max(use.limits.cpus_max - use.cpus, 0.0) if use.limits.cpus_max > 0 else cpus
+        gpus -= max(use.limits.gpus_max - use.gpus, 0.0) if use.limits.gpus_max > 0 else gpus
+        lower = [
+            task for other in self.cluster.jobs.values()
+            if other.spec.team == spec.team and other.rank > job.rank and other.kind is Kind.ARRAY
+            for task in other.tasks.values() if task.phase is Phase.PLACED
+        ]
+        # What is being stopped already frees some.
+        cpus -= sum(t.job.spec.cpus for t in lower if t.stopping is not None)
+        gpus -= sum(t.job.spec.gpus for t in lower if t.stopping is not None)
+        job.preempt_after = now + VAIN_PAUSE
+        for task in sorted(lower, key=lambda t: (-t.job.rank, now - (t.running_since or now), t.name)):
+            other = task.job.spec
+            if task.stopping is None and ((cpus > 1e-9 and other.cpus > 0) or (gpus > 1e-9 and other.gpus > 0)):
+                cpus, gpus = cpus - other.cpus, gpus - other.gpus
+                self.cluster.stop(task, other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0)
+
     def _for_guarantee(self, job: Job, now: int) -> bool:
         """May it stop other teams' work of its own priority? Only after a moment: room may just come free."""
         return (
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,63 @@
+"""What is written down, in which order, and what it costs the state service."""
+
+from __future__ import annotations
+
+from oatport import wire
+from oatport.control.records import live_key
+from oatport.settings import Team
+from oatport.times import SECOND
+from tests.world import World
+
+
+def test_first_chunks_of_an_earlier_version_are_taken_over() -> None:
+    """An upgrade in place: the first chunk once had a key of its own."""
+    world = World()
+    world.machine(1)
+    ref = world.submit()
+    world.settle()
+    head, _, _ = world.state.items[live_key(ref)]
+    assert len(world.live(ref)) == 2
+    world.state.commit({"if": [], "then": [
+        {"set": live_key(ref), "value": {k: head[k] for k in ("job", "at", "state")}},
+        {"set": f"{live_key(ref)}/0000", "value": {"t": head["t"]}},
+    ]})
+    world.take_over()
+    world.cluster.jobs[ref].version = head["rev"]  # the head had the revision of jobs/REF then
+    assert world.cluster.jobs[ref].on_machines == 2
+    world.settle()
+    assert len(world.live(ref)) == 2 and len(world.workers["vm-000001"].starts) == 2
+    assert [row["path"] for row in world.state.list(live_key(ref))[1]["rows"]] == [live_key(ref)]
+    world.settle(31)
+    assert world.record(ref) == wire.DONE
+    assert world.state.list("live/")[1]["rows"] == []
+
+
+def test_what_a_small_job_costs_the_state_service() -> None:
+    """Puts and deletes from accept to end: two, one for its claim, two for its end."""
+    world = World()
+    world.machine(1)
+    world.settle()
+    before = len(world.state.log)
+    ref = world.submit(legs=1)
+    world.settle(40)
+    assert world.record(ref) == wire.DONE
+    writes = [key for _, key, _ in world.state.log[before:] if ref in key]
+    assert len(writes) == 5
+
+
+def test_a_swarms_claims_go_after_others_ends() -> None:
+    world = World([Team("crew")])
+    for number in range(1, 9):
+        world.machine(number)
+    world.settle(2)
+    ended = world.submit(ref="j-000001", legs=1, voyageS=1.0)
+    world.settle(1)
+    for number in range(10, 30):
+        world.submit(ref=f"j-{number:06d}", urgency="idle", legs=1, cores=0.25)
+    world.now += 2 * SECOND
+    world.report(next(w for w in world.workers.values() if w.starts))
+    world.submit(ref="j-000002", urgency="production", rig="standing", legs=1)
+    world.plan()
+    batch = world.cluster.take_batch(4)
+    assert next(iter(batch.sets)) == live_key("j-000002")
+    assert [job.ref for job in batch.finished] == [ended]
