--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -86,13 +86,13 @@
             self.requeue(task, lost=True)
         self.replan = True
 
-    def stood_still(self, gap: int) -> None:
+    def stood_still(self, gap: int, now: int) -> None:
         """This process did not run for a while: nobody was silent or idle for it meanwhile."""
         for machine in self.machines.values():
             for name in ("heard_at", "known_since", "idle_since", "gpus_idle_since"):
                 at = getattr(machine, name)
                 if at:
-                    setattr(machine, name, at + gap)
+                    setattr(machine, name, min(at + gap, now))
         for job in self.waiting:
             if job.hungry_since:
                 job.hungry_since += gap
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -127,12 +127,14 @@
             self._add_drops(batch, keys, max_ops)
             batch.finished.append(job)
         self._add_urgent(batch, max_ops, IDLE_RANK)
+        most = max_ops
         if budget is not None:
             left_urgent = len(self.urgent) + len(self.to_finish)
             max_ops = min(max_ops, max(batch.ops, budget - left_urgent))
         for job in list(self.to_clean):
             keys = [k for k in self._job_keys(job) if self.versions.get(k)]
-            if batch.ops and batch.ops + len(keys) > max_ops:
+            # Whole, or at least with all of a transaction: the mark must not go before the job that it cancels.
+            if batch.ops + len(keys) > max_ops and not (batch.ops == 0 and max_ops == most):
                 break
             if job.cancelled and job.on_machines:
                 del self.to_clean[job]
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -134,7 +134,7 @@
         gap = self._pulse.beat(now)
         if gap:
             log.warning("stood still for %.1f s", seconds(gap))
-            self.cluster.stood_still(gap)
+            self.cluster.stood_still(gap, now)
         return now
 
     def entitled(self) -> bool:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -61,3 +61,22 @@
     batch = world.cluster.take_batch(4)
     assert next(iter(batch.sets)) == live_key("j-000002")
     assert [job.ref for job in batch.finished] == [ended]
+
+
+def test_a_cancelled_jobs_mark_goes_with_the_job() -> None:
+    """However little the budget holds: a job without its mark would run again after a takeover."""
+    world = World()
+    world.machine(1)
+    ref = world.submit()
+    world.settle()
+    world.cancel(ref)
+    world.report(world.workers["vm-000001"])
+    world.report(world.workers["vm-000001"])
+    assert world.cluster.to_clean
+    for budget in (0, 1):
+        batch = world.cluster.take_batch(12, budget=budget)
+        assert not any(key.startswith(live_key(ref)) for key in batch.drops) and not batch.cleaned
+        world.cluster.put_back(batch)
+    assert not world.cluster.orphans
+    batch = world.cluster.take_batch(12, budget=12)
+    assert {live_key(ref), live_key(ref) + "/x"} <= set(batch.drops)
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -138,7 +138,9 @@
     assert world.fleet.to_release(world.now)
     for machine in machines:
         machine.releasing = False
-    world.cluster.stood_still(gap)
+    machines[0].heard_at = world.now  # its answer was read first
+    world.cluster.stood_still(gap, world.now)
+    assert machines[0].heard_at == world.now
     assert silent(machines, world.now, 5 * SECOND) == []
     assert world.fleet.to_release(world.now) == []
     # What really passes meanwhile is not moved: a spot notice, a boot.
