--- a/oatport/api/intake.py
+++ b/oatport/api/intake.py
@@ -13,7 +13,7 @@
 
 TRIES = (700 * MS, 400 * MS)  # the state service mostly takes 10 ms, at times a few hundred
 WAITING_MOST = 100
-IDLE_SHARE = 0.4
+IDLE_SHARE = 0.6
 AT_ONCE = 4
 SENT_WITHIN = 150 * MS
 BYTES_MOST = 24 * 1024  # of records in one transaction: well below its limit
