--- /dev/null
+++ b/oatport/service/groupcommit.py
@@ -0,0 +1,155 @@
+"""Group commit: what the leader's view wants written, one conditioned transaction at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from oatport import wire
+from oatport.clients.http import Bucket, NoAnswer, Refused, jitter
+from oatport.clients.state import Applied
+from oatport.control.records import ACCEPT_KEYS, JOBS, LEADER_KEY, Batch, job_key
+from oatport.service.helm import Helm
+from oatport.times import MS, SECOND, seconds, steady
+
+log = logging.getLogger(__name__)
+
+END_DELAY = 250 * MS  # ends may wait this long for company in one transaction
+BULK_WAIT = 4 * SECOND  # what can wait does so for no longer, however much is pressing
+WRITE_SHARE = 0.85  # of the changes a second; the rest is for users' requests
+
+
+class GroupCommit:
+    def __init__(self, helm: Helm) -> None:
+        self._helm = helm
+        self.cluster = helm.cluster
+        self.state = helm.state
+        limits = helm.settings.cluster.state
+        self._budget = Bucket(limits.write_rps * WRITE_SHARE)
+        self._txn_ops = limits.txn_ops
+        self.wanted = asyncio.Event()
+        self._trying_since = 0  # when the commit under way was first tried
+
+    def joined(self) -> None:
+        """A job was accepted: what nodes wrote for it is off the same budget.
+
+        But a swarm makes no debt that claims wait for.
+        """
+        if self._budget.available() > 0:
+            self._budget.take(ACCEPT_KEYS)
+
+    def stuck(self, now: int) -> bool:
+        """The commit under way has been without an answer for long."""
+        return bool(self._trying_since and now - self._trying_since > SECOND)
+
+    async def loop(self) -> None:
+        bulk_at = steady()
+        while not self._helm.over:
+            await self.wanted.wait()
+            self.wanted.clear()
+            while self.cluster.has_writes() and not self._helm.over:
+                if not self.cluster.has_urgent():
+                    await asyncio.sleep(seconds(END_DELAY) if not self.cluster.has_urgent() else 0)
+                # What can wait leaves half a second's worth to claims, and to users' requests.
+                now = steady()
+                budget = int(self._budget.available() - self._budget.rate / 2)
+                if now - bulk_at > BULK_WAIT:
+                    budget = self._txn_ops
+                batch = self.cluster.take_batch(self._txn_ops, max(budget, 0))
+                if not self.cluster.dirty or batch.ops > 1:
+                    bulk_at = now
+                if not batch.ops:
+                    for job in batch.cleaned + batch.finished:
+                        self.cluster.drop_job(job)
+                    self.cluster.in_flight = set()
+                    await asyncio.sleep(0.04)
+                    continue
+                await self._budget.spend(batch.ops)
+                await self.commit(batch)
+                self._helm.wake()
+
+    async def commit(self, batch: Batch) -> None:
+        """Commit a batch, trying the same transaction until its outcome is known.
+
+        While unsure, nothing else is written: each key's version is a condition, so once the answer
+        is known no earlier try can be applied any more.
+        """
+        conditions = {LEADER_KEY: self._helm.token, **batch.conditions}
+        tries = 0
+        self._trying_since = steady()
+        while not self._helm.over:
+            try:
+                result = await self.state.commit(conditions, batch.sets, batch.drops)
+            except (NoAnswer, Refused) as error:
+                tries += 1
+                if not (isinstance(error, Refused) and error.status == 429):
+                    log.info("commit: %s", error)
+                if isinstance(error, Refused) and error.status < 429:
+                    self._helm.depose("the state service calls a transaction malformed")
+                    return
+                await asyncio.sleep(jitter(min(60 * MS * tries, 400 * MS)))
+                continue
+            self._trying_since = 0
+            if isinstance(result, Applied):
+                self.cluster.committed(batch, result.revision, steady())
+                return
+            await self._conflict(batch, result.failed, tries)
+            return
+
+    async def _conflict(self, batch: Batch, failed: tuple[str, ...], tries: int) -> None:
+        if LEADER_KEY in failed:
+            self._helm.depose("the leader key has another version")
+            return
+        if tries and await self._was_applied(batch):
+            return
+        others = [key for key in failed if not key.startswith(JOBS)]
+        if others or not failed:
+            # Somebody else wrote what only the leader writes: what we believe is not what is recorded.
+            log.error("records differ from what was expected: %s", others)
+            self._helm.depose("records differ from what was expected")
+            return
+        for key in failed:
+            await self._reread(key[len(JOBS):])
+        self.cluster.put_back(batch)
+        for key in failed:
+            job = self.cluster.jobs.get(key[len(JOBS):])
+            if job is not None and job.cancelled:
+                job.finishing = False
+                self.cluster.to_finish.pop(job, None)
+                self.cluster.cancel_job(job.ref, 0)
+
+    async def _was_applied(self, batch: Batch) -> bool:
+        """After an unsure try: did it get through? Its keys then share the revision of the commit."""
+        key = next(iter(batch.sets), None) or batch.drops[0]
+        while not self._helm.over:
+            try:
+                found = await self.state.get(key)
+            except (NoAnswer, Refused):
+                await asyncio.sleep(jitter(200 * MS))
+                continue
+            if key in batch.sets:
+                applied = found is not None and found[1] > batch.conditions.get(key, 0) and found[0] == batch.sets[key]
+                revision = found[1] if found is not None else 0
+            else:
+                applied, revision = found is None, 0
+            if applied:
+                self.cluster.committed(batch, revision, steady())
+            return applied
+        return False
+
+    async def _reread(self, ref: str) -> None:
+        while not self._helm.over:
+            try:
+                found = await self.state.get(job_key(ref))
+            except (NoAnswer, Refused):
+                await asyncio.sleep(jitter(200 * MS))
+                continue
+            job = self.cluster.jobs.get(ref)
+            if job is None:
+                return
+            state = None if found is None else found[0].get("state")
+            if found is not None and state == wire.CANCELLED:
+                self.cluster.cancel_job(ref, found[1])
+            elif found is not None and state == wire.DONE:
+                self.cluster.drop_job(job)
+            return
--- /dev/null
+++ b/oatport/service/helm.py
@@ -0,0 +1,52 @@
+"""What the parts of a leader may ask of it: so that none of them has to know the others."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from oatport import wire
+from oatport.clients.peer import PeerClient
+from oatport.clients.state import StateClient
+from oatport.control.cluster import Cluster
+from oatport.control.model import Machine
+from oatport.service.tasks import TaskGroup
+from oatport.settings import Settings, Tuning
+
+
+class Home(Protocol):
+    """The node that leads."""
+
+    types: dict[str, wire.MachineType]
+    peers: dict[str, PeerClient]
+    display: dict[str, tuple[int, int]]
+
+    def lost_lead(self, why: str) -> None: ...
+    def cut_off_from(self, addresses: list[str]) -> None: ...
+
+
+class Helm(Protocol):
+    """The leader, as its parts see it."""
+
+    home: Home
+    settings: Settings
+    tuning: Tuning
+    state: StateClient
+    token: int
+    cluster: Cluster
+    group: TaskGroup
+    began: int  # when it took the lead (steady)
+    over: bool
+
+    def depose(self, why: str) -> None: ...
+
+    def now(self) -> int:
+        """The steady clock. A time in which this process stood still is not counted as lived."""
+
+    def entitled(self) -> bool:
+        """Nobody else can be leading: asked at the moment of acting."""
+
+    def stalled(self, now: int) -> bool:
+        """Nothing new is to be decided: the state service is away, or it may not lead any more."""
+
+    def wake(self) -> None: ...
+    def heard(self, report: wire.Report, now: int) -> Machine | None: ...
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -7,14 +7,14 @@
 
 import asyncio
 import logging
-from typing import Any, Protocol
+from typing import Any
 
 import aiohttp
 
 from oatport import wire
-from oatport.clients.http import Bucket, NoAnswer, NotSent, Refused, jitter
+from oatport.clients.http import NoAnswer, NotSent, Refused, jitter
 from oatport.clients.peer import PeerClient
-from oatport.clients.state import Applied, StateClient
+from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.backlog import route_waiting
 from oatport.control.cluster import Cluster
@@ -22,36 +22,22 @@
 from oatport.control.model import Job, Machine, Phase
 from oatport.control.placer import Placer
 from oatport.control.predictor import Predictor
-from oatport.control.records import ACCEPT_KEYS, FLEET, JOBS, LEADER_KEY, LIVE, MODEL_KEY, Batch, job_key
+from oatport.control.records import JOBS, MODEL_KEY
 from oatport.control.recovery import OutageClock, load, read_job
 from oatport.service.fleetkeeper import FleetKeeper
+from oatport.service.groupcommit import GroupCommit
+from oatport.service.helm import Home
+from oatport.service.takeover import introduce_all, read_records
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Settings, Tuning
 from oatport.times import MS, SECOND, seconds, steady, time_of_day
 
 log = logging.getLogger(__name__)
 
-END_DELAY = 250 * MS  # ends may wait this long for company in one transaction
-BULK_WAIT = 4 * SECOND  # what can wait does so for no longer, however much is pressing
 WATCH_WAIT = 1_000 * MS
 PLAN_REST = 3  # times as long as a planning pass took, until the next
 
 
-class Home(Protocol):
-    """The node that leads."""
-
-    types: dict[str, wire.MachineType]
-    peers: dict[str, PeerClient]
-    display: dict[str, tuple[int, int]]
-
-    def lost_lead(self, why: str) -> None: ...
-    def cut_off_from(self, addresses: list[str]) -> None: ...
-
-
-class Deposed(Exception):
-    """The leader key is not ours any more."""
-
-
 class Lead:
     def __init__(
         self, home: Home, settings: Settings, tuning: Tuning, session: aiohttp.ClientSession,
@@ -75,30 +61,21 @@
         self.loaded = False
         self.over = False
         self.keeper = FleetKeeper(self, session)
-        self._writes = Bucket(limits.state.write_rps * 0.85)  # the rest is for users' requests
-        self._txn_ops = limits.state.txn_ops
+        self.commits = GroupCommit(self)
         self._plan_wanted = asyncio.Event()
-        self._write_wanted = asyncio.Event()
         self._send_wanted = asyncio.Event()
         self._sending: set[Machine] = set()
         self._early: list[tuple[str, str, Any, int]] = []  # told before the records were loaded
         self._watch_from = 0
-        self._writing_since = 0  # when the commit under way was first tried
         self._last_display: dict[str, tuple[int, int]] = {}
 
     # --- lifecycle --------------------------------------------------------------------------
 
     async def take_over(self) -> None:
         """Load what is recorded; reports confirm it."""
-        rows: list[dict[str, Any]] = []
-        live, revision = await self.state.list_all(LIVE)
-        fleet, _ = await self.state.list_all(FLEET)
-        model = await self.state.get(MODEL_KEY)
-        if model is not None:
-            rows.append({"path": MODEL_KEY, "value": model[0], "entryRev": model[1]})
+        rows, revision = await read_records(self.state)
         if not self.cluster.types:
             await self.keeper.catalog()
-        rows += fleet + live
         load(self.cluster, rows, steady(), time_of_day())
         self._watch_from = revision
         self.clock.known(steady())
@@ -109,14 +86,12 @@
         log.info("leading with token %d: %d jobs, %d machines recorded", self.token, len(self.cluster.jobs),
                  len(self.cluster.machines))
         for name, loop in (
-            ("watch", self._watch_loop), ("write", self._write_loop), ("plan", self._plan_loop),
+            ("watch", self._watch_loop), ("write", self.commits.loop), ("plan", self._plan_loop),
             ("send", self._send_loop), ("display", self._display_loop), ("tick", self._tick_loop),
         ):
             self.group.keep(name, loop)
         self.keeper.start()
-        for machine in list(self.cluster.machines.values()):
-            if machine.address:
-                self.group.once("introduce", self._introduce(machine))
+        introduce_all(self, self._session)
         self.wake()
 
     def close(self) -> None:
@@ -146,7 +121,7 @@
         if cluster.replan:
             self._plan_wanted.set()
         if cluster.has_writes():
-            self._write_wanted.set()
+            self.commits.wanted.set()
         if cluster.to_send:
             self._send_wanted.set()
 
@@ -170,9 +145,7 @@
 
     def _join(self, ref: str, spec: wire.Submission, revision: int, at: int) -> None:
         self.cluster.add_job(ref, spec, revision, at)
-        if self._writes.available() > 0:
-            # What nodes wrote to accept it is off the same budget; but a swarm makes no debt that claims wait for.
-            self._writes.take(ACCEPT_KEYS)
+        self.commits.joined()
 
     async def _watch_loop(self) -> None:
         """Accepted and cancelled jobs, and the moment up to which all cancellations are known."""
@@ -236,120 +209,6 @@
     def state_down(self, now: int) -> bool:
         return now - self.state.ok_at > 2 * SECOND and self.state.failed_at > self.state.ok_at
 
-    # --- writing ----------------------------------------------------------------------------
-
-    async def _write_loop(self) -> None:
-        bulk_at = steady()
-        while not self.over:
-            await self._write_wanted.wait()
-            self._write_wanted.clear()
-            while self.cluster.has_writes() and not self.over:
-                if not self.cluster.has_urgent():
-                    await asyncio.sleep(seconds(END_DELAY) if not self.cluster.has_urgent() else 0)
-                # What can wait leaves half a second's worth to claims, and to users' requests.
-                now = steady()
-                budget = int(self._writes.available() - self._writes.rate / 2)
-                if now - bulk_at > BULK_WAIT:
-                    budget = self._txn_ops
-                batch = self.cluster.take_batch(self._txn_ops, max(budget, 0))
-                if not self.cluster.dirty or batch.ops > 1:
-                    bulk_at = now
-                if not batch.ops:
-                    for job in batch.cleaned + batch.finished:
-                        self.cluster.drop_job(job)
-                    self.cluster.in_flight = set()
-                    await asyncio.sleep(0.04)
-                    continue
-                await self._writes.spend(batch.ops)
-                await self._commit(batch)
-                self.wake()
-
-    async def _commit(self, batch: Batch) -> None:
-        """Commit a batch, trying the same transaction until its outcome is known.
-
-        While unsure, nothing else is written: each key's version is a condition, so once the answer
-        is known no earlier try can be applied any more.
-        """
-        conditions = {LEADER_KEY: self.token, **batch.conditions}
-        tries = 0
-        self._writing_since = steady()
-        while not self.over:
-            try:
-                result = await self.state.commit(conditions, batch.sets, batch.drops)
-            except (NoAnswer, Refused) as error:
-                tries += 1
-                if not (isinstance(error, Refused) and error.status == 429):
-                    log.info("commit: %s", error)
-                if isinstance(error, Refused) and error.status < 429:
-                    self.depose("the state service calls a transaction malformed")
-                    return
-                await asyncio.sleep(jitter(min(60 * MS * tries, 400 * MS)))
-                continue
-            self._writing_since = 0
-            if isinstance(result, Applied):
-                self.cluster.committed(batch, result.revision, steady())
-                return
-            await self._conflict(batch, result.failed, tries)
-            return
-
-    async def _conflict(self, batch: Batch, failed: tuple[str, ...], tries: int) -> None:
-        if LEADER_KEY in failed:
-            self.depose("the leader key has another version")
-            return
-        if tries and await self._was_applied(batch):
-            return
-        others = [key for key in failed if not key.startswith(JOBS)]
-        if others or not failed:
-            # Somebody else wrote what only the leader writes: what we believe is not what is recorded.
-            log.error("records differ from what was expected: %s", others)
-            self.depose("records differ from what was expected")
-            return
-        for key in failed:
-            await self._reread(key[len(JOBS):])
-        self.cluster.put_back(batch)
-        for key in failed:
-            job = self.cluster.jobs.get(key[len(JOBS):])
-            if job is not None and job.cancelled:
-                job.finishing = False
-                self.cluster.to_finish.pop(job, None)
-                self.cluster.cancel_job(job.ref, 0)
-
-    async def _was_applied(self, batch: Batch) -> bool:
-        """After an unsure try: did it get through? Its keys then share the revision of the commit."""
-        key = next(iter(batch.sets), None) or batch.drops[0]
-        while not self.over:
-            try:
-                found = await self.state.get(key)
-            except (NoAnswer, Refused):
-                await asyncio.sleep(jitter(200 * MS))
-                continue
-            if key in batch.sets:
-                applied = found is not None and found[1] > batch.conditions.get(key, 0) and found[0] == batch.sets[key]
-                revision = found[1] if found is not None else 0
-            else:
-                applied, revision = found is None, 0
-            if applied:
-                self.cluster.committed(batch, revision, steady())
-            return applied
-        return False
-
-    async def _reread(self, ref: str) -> None:
-        while not self.over:
-            try:
-                found = await self.state.get(job_key(ref))
-            except (NoAnswer, Refused):
-                await asyncio.sleep(jitter(200 * MS))
-                continue
-            job = self.cluster.jobs.get(ref)
-            if job is None:
-                return
-            state = None if found is None else found[0].get("state")
-            if found is not None and state == wire.CANCELLED:
-                self.cluster.cancel_job(ref, found[1])
-            elif found is not None and state == wire.DONE:
-                self.cluster.drop_job(job)
-            return
-
     # --- placing and sending ------------------------------------------------------------------
 
     async def _plan_loop(self) -> None:
@@ -378,7 +237,7 @@
             await asyncio.sleep(seconds(max(15 * MS, PLAN_REST * took)))
 
     def stalled(self, now: int) -> bool:
-        return bool(self._writing_since and now - self._writing_since > SECOND) or not self.entitled()
+        return self.commits.stuck(now) or not self.entitled()
 
     async def _send_loop(self) -> None:
         while not self.over:
@@ -422,20 +281,6 @@
             if machine in cluster.to_send:
                 self._send_wanted.set()
 
-    async def _introduce(self, machine: Machine) -> None:
-        """Let a machine know the new token, and learn what is on it, without waiting for its report."""
-        client = WorkerClient(self._session, machine.address)
-        for _ in range(3):
-            if self.over or machine.gone or machine.confirmed(self.token):
-                return
-            try:
-                report = await client.show()
-                self.heard(report, steady())
-                if report.token < self.token:
-                    self.heard(await client.commands(self.token, report.session, []), steady())
-            except NoAnswer:
-                await asyncio.sleep(jitter(SECOND))
-
     async def _tick_loop(self) -> None:
         """Repeat what went unanswered, and learn."""
         recorded_at = told_at = steady()
--- /dev/null
+++ b/oatport/service/takeover.py
@@ -0,0 +1,54 @@
+"""Taking the lead over: the records are read, and the recorded machines asked what is on them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import aiohttp
+
+from oatport.clients.http import NoAnswer, jitter
+from oatport.clients.state import StateClient
+from oatport.clients.worker import WorkerClient
+from oatport.control.model import Machine
+from oatport.control.records import FLEET, LIVE, MODEL_KEY
+from oatport.service.helm import Helm
+from oatport.times import SECOND, steady
+
+log = logging.getLogger(__name__)
+
+INTRODUCTIONS = 3  # tries; after that its own report has to come
+
+
+async def read_records(state: StateClient) -> tuple[list[dict[str, Any]], int]:
+    """All that an earlier leader left: rows for `recovery.load`, and the revision to watch jobs from.
+
+    Raises NoAnswer or Refused.
+    """
+    live, revision = await state.list_all(LIVE)
+    fleet, _ = await state.list_all(FLEET)
+    model = await state.get(MODEL_KEY)
+    rows = [{"path": MODEL_KEY, "value": model[0], "entryRev": model[1]}] if model is not None else []
+    return rows + fleet + live, revision
+
+
+def introduce_all(helm: Helm, session: aiohttp.ClientSession) -> None:
+    for machine in list(helm.cluster.machines.values()):
+        if machine.address:
+            helm.group.once("introduce", introduce(helm, session, machine))
+
+
+async def introduce(helm: Helm, session: aiohttp.ClientSession, machine: Machine) -> None:
+    """Let a machine know the new token, and learn what is on it, without waiting for its report."""
+    client = WorkerClient(session, machine.address)
+    for _ in range(INTRODUCTIONS):
+        if helm.over or machine.gone or machine.confirmed(helm.token):
+            return
+        try:
+            report = await client.show()
+            helm.heard(report, steady())
+            if report.token < helm.token:
+                helm.heard(await client.commands(helm.token, report.session, []), steady())
+        except NoAnswer:
+            await asyncio.sleep(jitter(SECOND))
--- a/oatport/service/tasks.py
+++ b/oatport/service/tasks.py
@@ -47,12 +47,15 @@
         if self.closed:
             work.close()
             return
-        self._add(run())
+        # Cancelled before its first step, `run` never gets to `work`: a deposed leader left coroutines behind
+        # that were never awaited. Closing one that ran changes nothing.
+        self._add(run()).add_done_callback(lambda _: work.close())
 
-    def _add(self, work: Coroutine[Any, Any, Any]) -> None:
+    def _add(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def close(self) -> None:
         self.closed = True
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -84,7 +84,7 @@
     lead, client, home = leader(state)
     client.faults = ["lose"]
     batch = Batch(conditions={"live/j-1/0000": 0}, sets={"live/j-1/0000": {"t": [[1]]}})
-    await lead._commit(batch)
+    await lead.commits.commit(batch)
     assert home.lost == []
     assert lead.cluster.versions["live/j-1/0000"] == state.revision
 
@@ -92,7 +92,7 @@
 async def test_a_late_leader_commit_cannot_be_applied_twice(state: FakeState) -> None:
     lead, client, home = leader(state)
     client.faults = ["late"]
-    await lead._commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
+    await lead.commits.commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
     assert home.lost == []
     assert client.deliver_late() == [409]
 
@@ -100,7 +100,7 @@
 async def test_a_deposed_leader_stops(state: FakeState) -> None:
     lead, _, home = leader(state)
     state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n1"}}]})
-    await lead._commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
+    await lead.commits.commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
     assert home.lost
     assert not lead.answering()
 
@@ -109,15 +109,15 @@
     """A cut may hold a release and deliver it minutes later, onto another leader's machines."""
     lead, client, home = leader(state)
     client.faults = ["refuse", "lose"]
-    assert not await lead.keeper.still_leading()
-    assert not await lead.keeper.still_leading()
-    assert await lead.keeper.still_leading()
+    assert not await lead.keeper.watcher.still_leading()
+    assert not await lead.keeper.watcher.still_leading()
+    assert await lead.keeper.watcher.still_leading()
     home.peers = {"n1": FakePeer(None)}
-    assert await lead.keeper.ask_around([]) == (None, False)  # a peer that doesn't answer proves nothing
+    assert await lead.keeper.watcher.ask_around([]) == (None, False)  # a peer that doesn't answer proves nothing
     home.peers = {"n1": FakePeer(["seen", 3, True])}
-    assert await lead.keeper.ask_around([]) == (None, False)
+    assert await lead.keeper.watcher.ask_around([]) == (None, False)
     home.peers = {"n1": FakePeer(["seen", 0, True])}
-    assert await lead.keeper.ask_around([]) == (None, True)
+    assert await lead.keeper.watcher.ask_around([]) == (None, True)
 
 
 async def test_a_node_in_a_dark_zone_does_not_hold_the_verdict_back(state: FakeState) -> None:
@@ -125,11 +125,11 @@
     lead, _, home = leader(state)
     blind, silent, sees = FakePeer(["seen", 0, True]), FakePeer(None), FakePeer(["seen", 1, True])
     home.peers = {"n1": blind, "n2": silent}
-    assert await lead.keeper.ask_around([]) == (None, True)  # two of three nodes
+    assert await lead.keeper.watcher.ask_around([]) == (None, True)  # two of three nodes
     home.peers = {"n1": silent, "n2": silent}
-    assert await lead.keeper.ask_around([]) == (None, False)  # it is rather I who am cut off
+    assert await lead.keeper.watcher.ask_around([]) == (None, False)  # it is rather I who am cut off
     home.peers = {"n1": blind, "n2": sees}
-    assert await lead.keeper.ask_around([]) == (None, False)
+    assert await lead.keeper.watcher.ask_around([]) == (None, False)
 
 
 async def test_in_an_outage_tasks_live_but_nothing_starts(state: FakeState) -> None:
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -87,7 +87,7 @@
     assert lead.stalled(clock.at)
     machine = lead.cluster.add_machine("vm-000003", "m8", "a", False, "h:1", clock.at, 0)
     assert machine is not None
-    await lead.keeper._release([machine], "returned")
+    await lead.keeper.release([machine], "returned")
     await lead._send(machine)
     assert http_client.paths == [wire.RELEASE]
     assert not machine.gone  # it is there until proven gone
