--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -37,7 +37,7 @@
     predictor = cluster.predictor
     pools: dict[str, _Pool] = {}
     for machine in cluster.machines.values():
-        if machine.draining or machine.releasing or machine.taken_at:
+        if machine.draining or machine.releasing or machine.taken_at or machine.zone in cluster.dark:
             continue
         cpus, left, idle = machine.type.cpus, 0.0, 0.0
         if not machine.up_at:
@@ -197,7 +197,7 @@
     ages = [now - m.rented_at for m in cluster.machines.values() if m.spot and m.up_at]
     # Since when an earlier leader's tasks run is not known.
     running = [
-        now - t.running_since for m in cluster.machines.values() for t in m.tasks
+        now - t.running_since for m in cluster.machines.values() if m.zone not in cluster.dark for t in m.tasks
         if t.running_since and t.claimed_at and t.job.kind is not Kind.SERVICE and not t.job.suspect
         and t.job.rank < IDLE_RANK
     ]
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -12,7 +12,7 @@
 from oatport import wire
 from oatport.control import faults
 from oatport.control.model import CHUNK_TASKS, Job, Kind, Machine, Phase, Task, split_task
-from oatport.control.records import chunk_key
+from oatport.control.records import DARK_KEY, chunk_key
 from oatport.control.work import Work
 from oatport.times import MS, SECOND, micros
 
@@ -99,17 +99,37 @@
         if self._accounted_at:
             self._accounted_at += gap
 
-    def note_dark(self, lost: list[Machine], now: int) -> None:
-        """Machines are given up as silent: a zone with several of them and no other that is heard is cut off.
+    def note_dark(self, silent: list[Machine], now: int) -> set[str]:
+        """Silent machines that most nodes can't reach either: zones of theirs that nothing is heard from.
 
-        What is rented there would be charged and not come up before the cut ends.
+        Nothing is rented or placed there; what is rented would be charged and not come up before the cut ends.
         """
-        for zone in {m.zone for m in lost}:
-            quiet = now - self.tuning.us("silent_s") // 2
-            heard = any(m.zone == zone and m.heard_at > quiet for m in self.machines.values())
-            if not heard and sum(m.zone == zone for m in lost) >= DARK_LEAST and zone not in self.dark:
-                log.warning("zone %s is taken to be cut off", zone)
-                self.dark[zone] = now
+        found: set[str] = set()
+        for zone in {m.zone for m in silent}:
+            last = max(m.heard_at for m in self.machines.values() if m.zone == zone)
+            heard = last > now - self.tuning.us("silent_s") // 2
+            if not heard and sum(m.zone == zone for m in silent) >= DARK_LEAST:
+                found.add(zone)
+                if zone not in self.dark:
+                    log.warning("zone %s is taken to be cut off", zone)
+                    # Not heard of since this leader began: then it was cut off before.
+                    self.dark[zone] = last or min(m.known_since for m in silent if m.zone == zone)
+                    self.dirty[DARK_KEY] = None
+                    self.replan = True
+        return found
+
+    def dark_value(self) -> dict[str, int]:
+        return {zone: since + self.wall_offset for zone, since in self.dark.items()}
+
+    def _heard_again(self, zone: str, now: int) -> None:
+        """A zone is back: its machines were silent for its sake, and have a moment to be heard of."""
+        log.info("zone %s is heard from again", zone)
+        del self.dark[zone]
+        self.back.add(zone)
+        self.dirty[DARK_KEY] = None
+        for machine in self.machines.values():
+            if machine.zone == zone:
+                machine.known_since = now
 
     def _stray_left(self, name: str) -> None:
         parts = split_task(name)
@@ -132,9 +152,9 @@
             return machine  # an older message that came late
         new_session = report.session != machine.session
         machine.heard_at = self.now = now
+        self.wall_offset = wall - now
         if machine.zone in self.dark:
-            log.info("zone %s is heard from again", machine.zone)
-            del self.dark[machine.zone]
+            self._heard_again(machine.zone, now)
         if not machine.up_at:
             machine.up_at = machine.gpus_idle_since = now
             if not machine.tasks:
@@ -150,7 +170,8 @@
             # Starts sent under an earlier session are refused from now on, and so are those of an
             # earlier token once the worker has seen ours.
             machine.unanswered.clear()
-            machine.images.clear()
+            # Its images are kept, but a fetch that nobody waits for any more is given up.
+            machine.images = {image: at for image, at in machine.images.items() if at == 1}
         machine.session, machine.seq, machine.token = report.session, report.seq, report.token
         if report.notice_s is None:
             machine.taken_at = 0
--- /dev/null
+++ b/oatport/control/darkness.py
@@ -0,0 +1,122 @@
+"""Zones that are cut off: which of their machines to give up, and when.
+
+A machine that is cut off can be had back by nobody but the cloud: a release proves its tasks gone, so that they can
+run elsewhere. But until then they go on (PROTOCOL, "Outages and cuts"): for about as long as an outage may last if a
+node in the zone answers their workers (`control/steward.py`), for one lease if none does. So nothing is won by giving
+machines up at once, and much is lost if the cut ends soon: what they run, their images, and room that is not to be had
+anywhere else meanwhile. The rules here, in order of worth:
+
+1. A replica that may run in another zone leaves before its lease can end, a few at a time, so that each is missed
+   only for a start. One that may not (its job's spread over zones allows no more in the others) stays: it is back
+   where its image is as soon as the zone is.
+2. Machines without such replicas are kept for as long again as a new one would take to boot: what is cut off for
+   long then costs at most twice what is lost by giving up at once (the ski rental rule).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from oatport.control.cluster import Cluster
+from oatport.control.model import Job, Kind, Machine, Phase, zone_cap
+from oatport.control.recovery import OutageClock
+from oatport.settings import ClusterSettings
+from oatport.times import SECOND, micros
+
+REPLICAS_AT_ONCE = 24  # missed at the same time while they leave
+LEAVE_EACH = SECOND // 5  # what moving the replicas of one machine takes, as planned for
+LEAVE_EARLY = 4 * SECOND
+KEEP_BOUND = 600 * SECOND  # replicas that may run nowhere else: their machines are given up after this
+
+
+def lives_until(settings: ClusterSettings, since: int, kept: bool) -> int:
+    """Up to when the tasks of a zone that was last heard at `since` are alive (steady).
+
+    `kept`: a node there answers its workers. A worker's last answered report may be one and a quarter
+    report intervals old (PROTOCOL, "Workers -> controller nodes").
+    """
+    lease, report = micros(settings.workers.lease_s), micros(settings.workers.report_s * 1.25)
+    answered_until = max(OutageClock(settings, since).until, since) if kept else since
+    return answered_until - report + lease
+
+
+def elsewhere(cluster: Cluster, job: Job) -> int:
+    """How many more replicas of a service may run in zones that are heard from, its waiting ones counted."""
+    spec = job.spec
+    zones = {zone for kind in cluster.suited(job) for zone in kind.zones} - cluster.dark.keys()
+    if spec.zone is not None:
+        zones &= {spec.zone}
+    if spec.one_zone and job.zones:
+        zones &= job.zones.keys()
+    cap = zone_cap(spec)
+    return max(0, sum(cap - job.zones.get(zone, 0) for zone in zones) - job.pending)
+
+
+@dataclass(slots=True)
+class Leaving:
+    """Which machines of dark zones to give up now; asked again and again."""
+
+    cluster: Cluster
+    _room: dict[Job, int] = field(default_factory=dict)
+
+    def now(self, now: int, kept: frozenset[str]) -> list[Machine]:
+        """`kept`: zones in which a node answers the workers."""
+        chosen: list[Machine] = []
+        self._room.clear()
+        missed = self._missed()
+        for zone, since in self.cluster.dark.items():
+            alive = lives_until(self.cluster.settings, since, zone in kept)
+            there = sorted(
+                (m for m in self.cluster.machines.values()
+                 if m.zone == zone and not m.releasing and m.heard_at <= since and (m.up_at or m.was_up)),
+                key=lambda m: m.name,
+            )
+            movers = self._movers(there)
+            if now >= alive:
+                chosen += [machine for machine, _ in movers]
+                chosen += [m for m in there if m not in chosen and self._given_up(m, now, since, alive)]
+            elif now >= alive - LEAVE_EARLY - LEAVE_EACH * len(movers):
+                for machine, replicas in movers:
+                    if missed + replicas > REPLICAS_AT_ONCE > replicas:
+                        continue
+                    missed += replicas
+                    chosen.append(machine)
+        return chosen
+
+    def _missed(self) -> int:
+        """Replicas that lost their machine and wait for another one outside the dark zones."""
+        return sum(
+            min(len(job.again), elsewhere(self.cluster, job) + job.pending)
+            for job in self.cluster.waiting if job.kind is Kind.SERVICE and not job.suspect
+        )
+
+    def _movers(self, machines: list[Machine]) -> list[tuple[Machine, int]]:
+        """Machines most of whose replicas may run elsewhere, and how many do."""
+        found = []
+        for machine in machines:
+            movable: Counter[Job] = Counter()
+            bound = 0
+            for task in machine.tasks:
+                job = task.job
+                if job.kind is not Kind.SERVICE or task.phase is not Phase.PLACED or job.cancelled:
+                    continue
+                if job not in self._room:
+                    self._room[job] = elsewhere(self.cluster, job)
+                if movable[job] < self._room[job]:
+                    movable[job] += 1
+                else:
+                    bound += 1
+            # Those that stay would come back where they are: they lose their machine for the others' sake.
+            if movable.total() > bound:
+                found.append((machine, movable.total()))
+                for job, count in movable.items():
+                    self._room[job] -= count
+        return found
+
+    @staticmethod
+    def _given_up(machine: Machine, now: int, since: int, alive: int) -> bool:
+        """Its tasks are dead by now, and none of them is a replica that could be elsewhere."""
+        if any(task.job.kind is Kind.SERVICE and not task.job.cancelled for task in machine.tasks):
+            return now - since > KEEP_BOUND
+        return now > alive + micros(machine.type.boot_s)
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -317,6 +317,7 @@
         owned = [
             m for m in cluster.machines.values()
             if not m.spot and m.up_at and not m.draining and not m.releasing and m.type.gpus == 0
+            and m.zone not in cluster.dark
         ]
         room = 0.0
         loose: list[tuple[float, float, Machine]] = []
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -76,6 +76,7 @@
     kind: Kind = field(init=False)
     rank: int = field(init=False)
     cancelled: bool = False
+    cancel_after: int = 0  # steady; its cancellation was told after this. 0: not known
     tasks: dict[int, Task] = field(default_factory=dict)
     fresh: int = 0  # tasks from here on were never touched
     again: deque[int] = field(default_factory=deque)  # touched and pending
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -45,7 +45,10 @@
         cluster = self.cluster
         cluster.replan = False
         cluster.now = now
-        usable = [m for m in cluster.machines.values() if m.usable(cluster.token, now, cluster.fresh_us)]
+        usable = [
+            m for m in cluster.machines.values()
+            if m.usable(cluster.token, now, cluster.fresh_us) and m.zone not in cluster.dark
+        ]
         cluster.usable_now = usable
         waiting = order(cluster, now)
         if not waiting:
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -13,7 +13,7 @@
 ACCEPT_KEYS = 2  # written to accept a job: jobs/REF and live/REF
 
 JOBS, LIVE, FLEET = "jobs/", "live/", "fleet/"
-MODEL_KEY, CATALOG_KEY, LEADER_KEY = "model", "catalog", "leader"
+MODEL_KEY, CATALOG_KEY, LEADER_KEY, DARK_KEY = "model", "catalog", "leader", "dark"
 CANCEL_MARK = "x"  # live/REF/x: the job was cancelled, so that a takeover sees it among live work
 
 
@@ -97,6 +97,10 @@
             for machine in self.machines.values() if low <= machine.number < low + FLEET_CHUNK
         ]}
 
+    def dark_value(self) -> dict[str, int]:
+        """Zones that are cut off, and since when by the time of day."""
+        raise NotImplementedError
+
     def _job_keys(self, job: Job) -> list[str]:
         """All keys that job may have under live/, head first."""
         chunks = (job.fresh + CHUNK_TASKS - 1) // CHUNK_TASKS if job.fresh else 0
@@ -182,6 +186,8 @@
                 return
         elif key == MODEL_KEY:
             batch.sets[key] = self.predictor.record()
+        elif key == DARK_KEY:
+            batch.sets[key] = {"zones": self.dark_value()}
         else:
             ref, number = chunk_of(key)
             job = self.jobs.get(ref)
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -12,7 +12,7 @@
 from oatport import wire
 from oatport.control.cluster import DARK_LEAST, Cluster
 from oatport.control.model import CHUNK_TASKS, Job, Machine, Phase, Task
-from oatport.control.records import CANCEL_MARK, FLEET, LIVE, MODEL_KEY, cancel_key, chunk_key, live_key
+from oatport.control.records import CANCEL_MARK, DARK_KEY, FLEET, LIVE, MODEL_KEY, cancel_key, chunk_key, live_key
 from oatport.settings import ClusterSettings
 from oatport.times import SECOND, micros, with_drift
 
@@ -39,6 +39,9 @@
         cluster.versions[key] = version
         if key == MODEL_KEY:
             cluster.predictor.load(value)
+        elif key == DARK_KEY:
+            # What an earlier leader found out holds until one of the zone's machines is heard.
+            cluster.dark = {str(zone): now - max(0, wall - int(since)) for zone, since in value["zones"].items()}
         elif key.startswith(FLEET):
             for name, type_name, zone, spot, address, rented, was_up in value["m"]:
                 machine = cluster.add_machine(
@@ -125,6 +128,7 @@
                     continue
                 task.phase = Phase.PLACED
                 cluster.assign(task, machine)
+                machine.images.setdefault(job.spec.image, 1)  # it was sent there a while ago
 
 
 @dataclass(slots=True)
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -72,10 +72,12 @@
         self.replica_us = 0  # time that replicas were on machines, all in all
         self.moved_us = 0  # and what they missed by being moved
         self.now = 0  # the time of the last event or pass
+        self.wall_offset = 0  # the time of day less the steady clock, at the last report
         self.report_us = micros(settings.workers.report_s)
         self.fresh_us = 2 * self.report_us + SECOND
         self.usable_now: list[Machine] = []
-        self.dark: dict[str, int] = {}  # zones that nothing is heard from -> since when
+        self.dark: dict[str, int] = {}  # zones that nothing is heard from -> since when (steady)
+        self.back: set[str] = set()  # zones that are heard from again: their machines are to be asked at once
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
 
     # --- jobs -------------------------------------------------------------------------------
@@ -89,8 +91,11 @@
             self.replan = True
         return job
 
-    def cancel_job(self, ref: str, mark_version: int) -> None:
-        """Its user was told that it is cancelled: nothing starts any more, all its tasks must go."""
+    def cancel_job(self, ref: str, mark_version: int, told_after: int = 0) -> None:
+        """Its user was told that it is cancelled: nothing starts any more, all its tasks must go.
+
+        `told_after` (steady): not before that, as far as is known.
+        """
         job = self.jobs.get(ref)
         if job is None:
             return
@@ -99,6 +104,7 @@
         if job.cancelled:
             return
         job.cancelled = True
+        job.cancel_after = told_after
         self.waiting.discard(job)
         self.to_finish.pop(job, None)
         for task in list(job.tasks.values()):
@@ -108,6 +114,16 @@
                 self.stop(task, 0.0)
         self._clean_if_gone(job)
 
+    def carried_out(self, known_at: int) -> int:
+        """The moment (steady) up to which cancellations told are known and their tasks proven gone; 0: none.
+
+        `known_at`: up to which they are known. Tasks that nobody knows may be of a cancelled job.
+        """
+        if any(machine.strays for machine in self.machines.values()):
+            return 0
+        left = [job.cancel_after for job in self.jobs.values() if job.cancelled and (job.on_machines or job.strays)]
+        return min([known_at, *left])
+
     def _clean_if_gone(self, job: Job) -> None:
         if job.cancelled and job.on_machines == 0 and job.strays == 0:
             self.to_clean[job] = None
--- a/oatport/service/helm.py
+++ b/oatport/service/helm.py
@@ -21,6 +21,10 @@
     display: dict[str, tuple[int, int]]
 
     def lost_lead(self, why: str) -> None: ...
+
+    def nodes_heard(self) -> dict[str, list[int]]:
+        """When the other nodes last answered (steady), by zone."""
+
     def cut_off_from(self, addresses: list[str]) -> None: ...
 
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -136,7 +136,7 @@
 
     def _told(self, kind: str, ref: str, value: Any, revision: int) -> None:
         if kind == "cancelled":
-            self.cluster.cancel_job(ref, revision)
+            self.cluster.cancel_job(ref, revision, self.clock.known_at)
         elif ref not in self.cluster.jobs and revision > self._watch_from:
             # An older one was seen by the load or by the watch, and may be over already.
             spec, at, _ = read_job(value)
@@ -168,7 +168,7 @@
                 ref = key[len(JOBS):]
                 spec, at, state = read_job(item["value"])
                 if state == wire.CANCELLED:
-                    self.cluster.cancel_job(ref, int(item["entryRev"]))
+                    self.cluster.cancel_job(ref, int(item["entryRev"]), self.clock.known_at)
                 elif state not in wire.FINAL and ref not in self.cluster.jobs:
                     self._join(ref, spec, int(item["entryRev"]), at)
             self._watch_from = max(self._watch_from, revision)
@@ -181,6 +181,14 @@
         """Entitled to keep workers' leases alive."""
         return self.loaded and not self.over and steady() < self.clock.until
 
+    def carried_out_age(self) -> int:
+        """How long ago was the moment up to which cancellations told are carried out; -1: there is none.
+
+        What other nodes keep workers' leases by if they are cut off (`control/steward.py`).
+        """
+        done = self.cluster.carried_out(self.clock.known_at) if self.loaded and not self.over else 0
+        return steady() - done if done > 0 else -1
+
     def take_report(self, report: wire.Report) -> dict[str, Any] | None:
         if not self.answering():
             return None
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -17,6 +17,7 @@
 from oatport.clients.state import Applied, NoLease, StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
+from oatport.control.steward import Steward
 from oatport.service.lead import Lead
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Settings, Tuning
@@ -43,6 +44,7 @@
         self.types: dict[str, wire.MachineType] = {}
         self.display: dict[str, tuple[int, int]] = {}
         self.peers: dict[str, PeerClient] = {}
+        self.steward = Steward.of(settings.cluster)
         self.group = TaskGroup()
         self.lead: Lead | None = None
         self.started = steady()
@@ -55,6 +57,7 @@
         self._election = asyncio.Event()
         self._cancel_told_at = 0
         self._peer_served: dict[str, tuple[bool, int]] = {}  # peer -> (served, as of)
+        self._heard_at: dict[str, int] = {}  # peer -> when it last answered
         self._ever_served = False
         self._next_heard = self.started  # when the node after this one last answered
         self._unreached: list[str] = []  # workers that it could not reach as the leader, while another node did
@@ -71,6 +74,7 @@
         for tag, handler in (
             ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
             ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
+            ("carried out", self._on_carried_out),
         ):
             inside.on(tag, handler)
         servers = [
@@ -103,7 +107,12 @@
     # --- reports ----------------------------------------------------------------------------
 
     def take_report(self, report: wire.Report) -> dict[str, Any] | None:
-        return self.lead.take_report(report) if self.lead is not None else None
+        if self.lead is not None:
+            return self.lead.take_report(report)
+        state = self.state
+        if not self.steward.answers(report.token, steady(), state.ok_at, state.failed_at):
+            return None
+        return wire.report_answer(report.token, [])  # it lives on; nothing starts, stops or is forgotten
 
     def leader_name(self) -> str | None:
         return self._leader
@@ -193,17 +202,31 @@
             return ["ok"]
         return ["no"]
 
+    async def _on_carried_out(self, message: Message) -> Message:
+        """Up to when are cancellations carried out? Only the leader knows."""
+        lead = self.lead
+        return ["carried out", lead.token, lead.carried_out_age()] if lead is not None else ["no"]
+
+    async def _ask_leader(self, peer: PeerClient) -> None:
+        asked = steady()
+        answer = await peer.ask("carried out")
+        if answer[0] == "carried out":
+            self.steward.told(int(answer[1]), asked, int(answer[2]))
+
     async def _ping_loop(self, peer: PeerClient) -> None:
         while True:
             lead = self.lead
             try:
                 answer = await peer.ask("ping", self.node_name, self._leader, self._leader_token, self.served())
                 tag, name, leader, token, served, _ = answer
+                self._heard_at[peer.name] = steady()
                 if tag == "pong":
                     self._learn_leader(str(leader) if leader else None, int(token))
                     self._peer_served[str(name)] = (bool(served), steady())
                     if lead is self.lead and lead is not None and served and lead.state_down(steady()):
                         await self._hand_over(lead, peer, "the state service answers it")
+                    if self.lead is None and peer.name == self._leader:
+                        await self._ask_leader(peer)
             except (NoAnswer, ValueError, TypeError):
                 self._peer_served.pop(peer.name, None)
             await asyncio.sleep(jitter(PING_EVERY))
@@ -372,6 +395,13 @@
             if self._peer_served.get(name, (False, 0))[0] and self._next_answers(name)
         ), None)
 
+    def nodes_heard(self) -> dict[str, list[int]]:
+        heard: dict[str, list[int]] = {}
+        for peer in self.settings.peers:
+            if peer.node_name in self._heard_at:
+                heard.setdefault(peer.zone, []).append(self._heard_at[peer.node_name])
+        return heard
+
     def cut_off_from(self, addresses: list[str]) -> None:
         """These workers are reached by another node, but not by this one."""
         self._unreached = addresses
--- a/oatport/service/takeover.py
+++ b/oatport/service/takeover.py
@@ -12,7 +12,7 @@
 from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.model import Machine
-from oatport.control.records import FLEET, LIVE, MODEL_KEY
+from oatport.control.records import DARK_KEY, FLEET, LIVE, MODEL_KEY
 from oatport.service.helm import Helm
 from oatport.times import SECOND, steady
 
@@ -28,8 +28,11 @@
     """
     live, revision = await state.list_all(LIVE)
     fleet, _ = await state.list_all(FLEET)
-    model = await state.get(MODEL_KEY)
-    rows = [{"path": MODEL_KEY, "value": model[0], "entryRev": model[1]}] if model is not None else []
+    rows: list[dict[str, Any]] = []
+    for key in (MODEL_KEY, DARK_KEY):
+        found = await state.get(key)
+        if found is not None:
+            rows.append({"path": key, "value": found[0], "entryRev": found[1]})
     return rows + fleet + live, revision
 
 
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -10,16 +10,22 @@
 
 from oatport.clients.http import NoAnswer, Refused
 from oatport.clients.worker import WorkerClient
+from oatport.control.darkness import Leaving
 from oatport.control.fleet import RELEASE_MOST
 from oatport.control.model import Machine
 from oatport.control.records import LEADER_KEY
 from oatport.control.recovery import cut_off, dark_suspects, deaf, silent
 from oatport.service.helm import Helm
-from oatport.times import MS, steady
+from oatport.service.takeover import introduce
+from oatport.times import MS, SECOND, steady
 
 log = logging.getLogger(__name__)
 
 OWN_PROBES = 4
+STEP, DARK_STEP = 0.5, 0.25  # seconds between two looks
+DARK_PROBES = 8  # machines of dark zones asked at each look
+CONFIRMED = 4 * SECOND  # that most nodes reach nothing of a zone is asked again after this
+NODE_LOST_WITHIN = 4 * SECOND  # a node and its zone's machines are lost at about the same time
 
 
 class Watcher:
@@ -36,47 +42,106 @@
         self.state = helm.state
         self.tuning = helm.tuning
         self.group = helm.group
+        self._asked_at = 0
+        self._confirmed_at = 0
 
     async def loop(self) -> None:
         """Machines not heard of: ask them, ask the other nodes, and release the lost ones."""
-        asked_at = 0
         while not self._helm.over:
-            await asyncio.sleep(0.5)
-            now = self._helm.now()
-            silent_us = self.tuning.us("silent_s")
-            machines = list(self.cluster.machines.values())
-            quiet = silent(machines, now, silent_us // 2)
-            for machine in quiet:
-                if not machine.probing and now - machine.probed_at > 1_500 * MS and machine.address:
-                    machine.probing, machine.probed_at = True, now
-                    self.group.once("probe", self._probe(machine))
-            unheard = deaf(machines, now, self.cluster.report_us, self._helm.began)
-            if unheard and now - asked_at > silent_us // 2:
-                asked_at = now
-                await self._gives_way(unheard)
-                continue
-            dark = dark_suspects(machines, now, silent_us)
-            lost = dark or silent(quiet, now, silent_us)
-            if not lost or now - self._helm.began < silent_us * (3 if dark else 7) // 10:
-                continue
-            # Judged by all that are quiet: one by one they pass the mark, and those that came first were once
-            # released by a leader that was cut off.
-            if dark or cut_off(len(quiet), machines):
-                given_up, most_lost = await self._gives_way(lost)
-                if given_up:
-                    return
-                if not most_lost:
-                    continue
-            # A node without contact judges nobody: its request to release might be held by the cut and
-            # executed minutes later, when all those machines are at work for another leader.
-            if not self._helm.entitled() or not await self.still_leading():
-                continue
-            still = silent(lost, self._helm.now(), silent_us // 2 if dark else silent_us)
-            lost = [m for m in still if m.probed_at > 0 and not m.gone][:RELEASE_MOST]
-            if lost:
-                log.info("silent machines, releasing: %s", " ".join(m.name for m in lost))
-                self.cluster.note_dark(lost, steady())
-                await self._release(lost, "silent")
+            await asyncio.sleep(DARK_STEP if self.cluster.dark else STEP)
+            await self.step()
+
+    async def step(self) -> None:
+        now, cluster = self._helm.now(), self.cluster
+        silent_us = self.tuning.us("silent_s")
+        machines = list(cluster.machines.values())
+        self._ask_zones_back(machines)
+        lit = [m for m in machines if m.zone not in cluster.dark]
+        quiet = silent(lit, now, silent_us // 2)
+        self._ask(quiet, now)
+        self._ask_dark([m for m in machines if m.zone in cluster.dark], now)
+        unheard = deaf(machines, now, cluster.report_us, self._helm.began)
+        if unheard and now - self._asked_at > silent_us // 2:
+            self._asked_at = now
+            await self._gives_way(unheard)
+            return
+        dark = [m for m in dark_suspects(machines, now, silent_us) if m.zone not in cluster.dark]
+        lost = dark or silent(quiet, now, silent_us)
+        if not lost or now - self._helm.began < silent_us * (3 if dark else 7) // 10:
+            await self._leave_dark(now)
+            return
+        # Judged by all that are quiet: one by one they pass the mark, and those that came first were once
+        # released by a leader that was cut off.
+        if dark or cut_off(len(quiet), lit):
+            given_up, most_lost = await self._gives_way(lost)
+            if given_up or not most_lost:
+                return
+        if not await self._may_judge():
+            return
+        still = silent(lost, self._helm.now(), silent_us // 2 if dark else silent_us)
+        lost = [m for m in still if m.probed_at > 0 and not m.gone]
+        # A zone that is cut off as a whole is left bit by bit; others that fell silent are gone.
+        left = cluster.note_dark(lost, steady())
+        self._confirmed_at = steady()
+        lost = [m for m in lost if m.zone not in left][:RELEASE_MOST]
+        if lost:
+            log.info("silent machines, releasing: %s", " ".join(m.name for m in lost))
+            await self._release(lost, "silent")
+        self._helm.wake()
+
+    def _ask(self, quiet: list[Machine], now: int) -> None:
+        for machine in quiet:
+            if not machine.probing and now - machine.probed_at > 1_500 * MS and machine.address:
+                machine.probing, machine.probed_at = True, now
+                self.group.once("probe", self._probe(machine))
+
+    def _ask_dark(self, machines: list[Machine], now: int) -> None:
+        """A few at a time, in turn: enough to see at once that a zone is back."""
+        asked = sorted((m for m in machines if m.address and not m.probing), key=lambda m: m.probed_at)
+        self._ask(asked[:DARK_PROBES], now)
+
+    def _ask_zones_back(self, machines: list[Machine]) -> None:
+        """All machines of a zone that is heard from again, those with replicas first.
+
+        Their own reports would come over seconds: each may just have begun to wait for a node in vain.
+        """
+        back, self.cluster.back = self.cluster.back, set()
+        there = [m for m in machines if m.zone in back and m.address and not m.gone]
+        for machine in sorted(there, key=lambda m: -m.steady_cpus):
+            self.group.once("introduce", introduce(self._helm, self._session, machine))
+
+    async def _leave_dark(self, now: int) -> None:
+        """Give up machines of zones that are cut off, where something is won by it (`control/darkness.py`)."""
+        leaving = Leaving(self.cluster).now(now, self._kept()) if self.cluster.dark else []
+        if not leaving or self._helm.stalled(now):
+            return
+        if now - self._confirmed_at > CONFIRMED:
+            given_up, most_lost = await self._gives_way(leaving)
+            if given_up or not most_lost:
+                return
+            self._confirmed_at = steady()
+        if not await self._may_judge():
+            return
+        leaving = [m for m in leaving if m.zone in self.cluster.dark and not m.gone][:RELEASE_MOST]
+        if leaving:
+            log.info("cut off, releasing: %s", " ".join(m.name for m in leaving))
+            await self._release(leaving, "cut off")
+
+    def _kept(self) -> frozenset[str]:
+        """Dark zones with a node that was cut off along with them: it answers their workers."""
+        heard = self.home.nodes_heard()
+        return frozenset(
+            zone for zone, since in self.cluster.dark.items()
+            if any(abs(at - since) < NODE_LOST_WITHIN for at in heard.get(zone, ()))
+        )
+
+    async def _may_judge(self) -> bool:
+        """A node without contact judges nobody.
+
+        Its request to release might be held by the cut and executed minutes later, when all those machines
+        are at work for another leader.
+        """
+        return self._helm.entitled() and await self.still_leading()
 
     async def _gives_way(self, machines: list[Machine]) -> tuple[bool, bool]:
         """Give up the lead if another node reaches these machines; and whether most nodes reach none of them."""
--- /dev/null
+++ b/tests/test_dark.py
@@ -0,0 +1,248 @@
+"""A zone that is cut off: who keeps its work alive, what is given up when, and what a new leader knows of it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.control.darkness import KEEP_BOUND, REPLICAS_AT_ONCE, Leaving, lives_until
+from oatport.control.model import Machine
+from oatport.control.records import DARK_KEY
+from oatport.control.steward import OUT_OF_TOUCH, Steward
+from oatport.service.node import Node
+from oatport.service.watching import Watcher
+from oatport.settings import Team, Tuning
+from oatport.times import SECOND, steady
+from standins.state import FakeState
+from standins.worker import FakeWorker
+from tests.test_service import FakePeer, leader
+from tests.world import FakeStateClient, World, cluster_settings, node_settings
+
+
+@pytest.fixture
+def state() -> FakeState:
+    return FakeState(lambda: 0)
+
+
+SETTINGS = cluster_settings()  # lease 10 s, cancellation 35 s, reports every second
+
+
+def steward(told_at: int = 100 * SECOND, age: int = 0) -> Steward:
+    kept = Steward.of(SETTINGS)
+    kept.told(7, told_at, age)
+    return kept
+
+
+def test_a_node_out_of_touch_answers_in_the_leaders_name_until_a_lease_could_outlast_a_cancellation() -> None:
+    kept, lost = steward(), 103 * SECOND
+    assert kept.answers(7, lost, 100 * SECOND, 102 * SECOND)
+    # A job cancelled just after the leader last told must be gone 35 s later, 10 s of which are the lease.
+    assert 115 * SECOND < kept.ends() <= 125 * SECOND
+    assert not kept.answers(7, kept.ends(), 100 * SECOND, 102 * SECOND)
+    assert not kept.answers(7, 100 * SECOND + OUT_OF_TOUCH - 1, 99 * SECOND, 100 * SECOND)  # the leader just spoke
+    assert not kept.answers(7, lost, 102 * SECOND, 101 * SECOND)  # the state service answers: there may be another one
+    assert not kept.answers(8, lost, 100 * SECOND, 102 * SECOND)  # that worker knows a later leader
+    assert not kept.answers(6, lost, 100 * SECOND, 102 * SECOND)  # the leader never reached that worker
+    assert not Steward.of(SETTINGS).answers(0, lost, 0, lost)  # it was never told anything
+
+
+def test_what_is_not_carried_out_yet_shortens_what_a_steward_may_do() -> None:
+    at_once, late = steward(), steward(age=9 * SECOND)
+    assert at_once.ends() - late.ends() >= 9 * SECOND
+    late.told(7, 101 * SECOND, -1)  # nothing is known
+    assert late.told_at == 100 * SECOND
+    at_once.told(6, 200 * SECOND, 0)  # an earlier leader that does not know yet
+    assert at_once.ends() == steward().ends()
+
+
+def test_a_cancellation_counts_until_its_tasks_are_proven_gone() -> None:
+    world = World()
+    worker = world.machine(1)
+    ref = world.submit(rig="standing", legs=1, driftwood=False)
+    world.settle()
+    known_at = world.now
+    assert world.cluster.carried_out(known_at) == known_at
+    world.cancel(ref, tell=False)
+    world.cluster.cancel_job(ref, 0, known_at - SECOND)
+    world.refused.add(worker.name)
+    world.step(3.0)
+    assert world.cluster.carried_out(world.now) == known_at - SECOND  # its machine is silent
+    world.refused.clear()
+    world.settle()
+    assert world.cluster.carried_out(world.now) == world.now
+    held = world.cluster.machines[worker.name]
+    held.strays[("j-999999/0", 1)] = (0.0, 0.0, 0.0)  # whose task is that? Perhaps of a cancelled job
+    assert world.cluster.carried_out(world.now) == 0
+
+
+async def test_a_zones_node_keeps_its_workers_leases_and_starts_nothing(state: FakeState) -> None:
+    """Half of all tasks were once killed by their leases while a node stood beside them."""
+    node = Node(node_settings(), Tuning())
+    node.state = client = FakeStateClient(state)  # type: ignore[assignment]
+    lead, _, _ = leader(state)
+    lead.clock.known_at = steady()
+    peer = FakePeer(["carried out", lead.token, lead.carried_out_age()])
+    await node._ask_leader(peer)  # type: ignore[arg-type]
+    node.steward.told_at -= 3 * SECOND
+    worker = FakeWorker(lambda: 0, "vm-000001", "h:1", "m8", "a", False, 8.0, lambda ref: None)
+    worker.token = lead.token
+    report: Any = worker.report()
+
+    assert node.take_report(wire.report(report)) is None  # it is not out of touch: the state service answers
+    client.ok_at, client.failed_at = steady() - 3 * SECOND, steady()
+    assert node.take_report(wire.report(report)) == {"helm": lead.token, "orders": []}
+    assert (await node._on_carried_out(["carried out"])) == ["no"]  # only the leader knows
+
+
+def cut(world: World, zone: str) -> list[Machine]:
+    """Nothing is heard from a zone for a while, and that is judged."""
+    for worker in world.workers.values():
+        if worker.zone == zone:
+            world.refused.add(worker.name)
+    world.step(3.0)
+    there = [m for m in world.cluster.machines.values() if m.zone == zone]
+    assert world.cluster.note_dark(there, world.now) == {zone}
+    world.commit()
+    return there
+
+
+def leaving(world: World, kept: bool) -> list[str]:
+    zones = frozenset({"b"}) if kept else frozenset[str]()
+    return [m.name for m in Leaving(world.cluster).now(world.now, zones)]
+
+
+def test_replicas_that_may_run_nowhere_else_keep_their_machines() -> None:
+    """Two zones, one of them cut off: releasing its machines won nothing and cost images, room and boots."""
+    world = World()
+    for number in range(1, 7):
+        world.machine(number, "a" if number < 4 else "b")
+    ref = world.submit(rig="standing", legs=4, spread=True, driftwood=False, urgency="production")
+    world.settle()
+    there = cut(world, "b")
+    with_replicas = {m.name for m in there if m.tasks}
+    assert sum(len(m.tasks) for m in there) == 2
+    alive = lives_until(SETTINGS, world.cluster.dark["b"], True)
+    world.now = alive + SECOND
+    assert leaving(world, True) == []
+    world.now += 31 * SECOND  # a machine without replicas would have booted twice by now
+    assert set(leaving(world, True)) == {m.name for m in there} - with_replicas
+    world.now += KEEP_BOUND
+    assert set(leaving(world, True)) == {m.name for m in there}
+    world.refused.clear()  # back: new sessions, and the replicas return to where their image is
+    world.now = alive + 10 * SECOND
+    world.settle()
+    assert not world.cluster.dark
+    assert {name for names in world.live(ref).values() for name in names} >= with_replicas
+
+
+def test_replicas_that_may_run_elsewhere_leave_before_their_lease_can_end() -> None:
+    world = World()
+    for number in range(1, 7):
+        world.machine(number, "a" if number < 4 else "b")
+    ref = world.submit(rig="standing", legs=4, driftwood=False, urgency="production", cores=8.0)
+    array = world.submit(ref="j-000002", legs=1, cores=8.0, voyageS=300.0)
+    world.settle()
+    there = cut(world, "b")
+    movable = [m.name for m in there if any(t.job.ref == ref for t in m.tasks)]
+    assert movable
+    alive = lives_until(SETTINGS, world.cluster.dark["b"], True)
+    assert leaving(world, True) == []  # the cut may end any moment, and they are not missed before
+    world.now += 2 * SECOND
+    assert leaving(world, False) == movable  # nobody keeps their leases
+    assert leaving(world, True) == []
+    world.now = alive - 4 * SECOND
+    assert leaving(world, True) == movable
+    assert all(t.job.ref != array for m in there if m.name in movable for t in m.tasks)
+
+
+def test_only_so_many_replicas_are_missed_at_a_time() -> None:
+    world = World([Team("crew")])
+    for number in range(1, 31):
+        world.machine(number, "a")
+        world.machine(number + 40, "b")
+    for number in range(30):
+        world.submit(ref=f"j-{number:06d}", rig="standing", legs=4, driftwood=False, urgency="production", cores=2.0)
+    world.settle(8)
+    there = cut(world, "b")
+    world.now = lives_until(SETTINGS, world.cluster.dark["b"], True) - 4 * SECOND
+    chosen = leaving(world, True)
+    replicas = sum(len(m.tasks) for m in there if m.name in chosen)
+    assert 0 < replicas <= REPLICAS_AT_ONCE < sum(len(m.tasks) for m in there)
+
+
+def test_a_zone_known_to_be_cut_off_outlives_the_leader_that_found_out() -> None:
+    """The next one began anew: five seconds more until the verdict, and rentals in the zone meanwhile."""
+    world = World()
+    for number in range(1, 7):
+        world.machine(number, "a" if number < 4 else "b")
+    world.settle()
+    cut(world, "b")
+    since = world.cluster.dark["b"]
+    world.now += 5 * SECOND
+    world.take_over()
+    assert abs(world.cluster.dark["b"] - since) < SECOND // 10
+    world.submit(rig="standing", legs=2, driftwood=False)
+    world.settle()
+    assert all(rental.zone == "a" for rental in world.fleet.wanted(world.now))
+    world.refused.clear()
+    world.settle()
+    assert not world.cluster.dark
+    assert world.state.items[DARK_KEY][0] == {"zones": {}}
+
+
+def test_nothing_is_placed_in_a_dark_zone_though_it_was_heard_a_moment_ago() -> None:
+    world = World()
+    world.machine(1, "b")
+    world.settle()
+    world.cluster.dark["b"] = world.now
+    ref = world.submit(legs=2)
+    world.plan()
+    assert world.cluster.jobs[ref].on_machines == 0
+
+
+def test_images_outlive_a_lease() -> None:
+    world = World()
+    worker = world.machine(1)
+    world.submit(legs=1, voyageS=500.0)
+    world.settle()
+    world.refused.add(worker.name)
+    world.step(12.0)
+    world.refused.clear()
+    world.step(1.0)
+    machine = world.cluster.machines[worker.name]
+    assert machine.session == 2
+    assert machine.images == {"img-1": 1}
+
+
+async def test_a_dark_zone_is_kept_and_judged_again_before_anything_is_released(state: FakeState) -> None:
+    lead, _, home = leader(state)
+    home.peers = {"n1": FakePeer(["seen", 0, True]), "n2": FakePeer(None)}
+    released: list[str] = []
+
+    async def release(machines: list[Machine], why: str) -> None:
+        released.extend(m.name for m in machines)
+
+    watcher = Watcher(lead, None, release)  # type: ignore[arg-type]
+    lead.mandate.asked_at = now = steady()
+    lead.began = now - 60 * SECOND
+    for number in range(1, 7):
+        machine = lead.cluster.add_machine(f"vm-{number:06d}", "m8", "a" if number < 4 else "b", False, "", now, 0)
+        assert machine is not None
+        machine.up_at = machine.probed_at = 1
+        machine.heard_at = machine.known_since = now if number < 4 else now - 6 * SECOND
+    await watcher.step()
+    assert "b" in lead.cluster.dark
+    assert released == []
+    lead.cluster.dark["b"] -= 60 * SECOND  # dead by any reckoning: now they go
+    for machine in lead.cluster.machines.values():
+        if machine.zone == "b":
+            machine.heard_at -= 60 * SECOND
+    watcher._confirmed_at = 0
+    home.peers = {"n1": FakePeer(None), "n2": FakePeer(None)}
+    await watcher.step()
+    assert released == []  # it may be this node that is cut off
+    home.peers = {"n1": FakePeer(["seen", 0, True]), "n2": FakePeer(None)}
+    await watcher.step()
+    assert released == ["vm-000004", "vm-000005", "vm-000006"]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -50,6 +50,9 @@
     def lost_lead(self, why: str) -> None:
         self.lost.append(why)
 
+    def nodes_heard(self) -> dict[str, list[int]]:
+        return {}
+
     def cut_off_from(self, addresses: list[str]) -> None:
         pass
 
@@ -145,8 +148,9 @@
     assert lead.take_report(report) is None
 
 
-async def test_reports_go_to_the_leader_and_bad_ones_hurt_nobody() -> None:
+async def test_reports_go_to_the_leader_and_bad_ones_hurt_nobody(state: FakeState) -> None:
     node = Node(node_settings(), Tuning())
+    node.state = FakeStateClient(state)  # type: ignore[assignment]
     node._leader = "n1"
     report = {"berth": "vm-1", "address": "h:1", "berthKind": "m8", "harbor": "a", "driftwood": False, "watch": 1,
               "logline": 1, "helm": 0, "legs": []}
@@ -188,6 +192,20 @@
     assert "one bad message" in caplog.text
 
 
+async def test_what_is_closed_before_its_first_step_leaves_nothing_behind() -> None:
+    """A deposed leader dropped coroutines that never ran; the warning is an error here."""
+    group, ran = TaskGroup(), []
+
+    async def work() -> None:
+        ran.append(1)
+
+    group.once("work", work())
+    group.close()
+    group.once("late", work())
+    await asyncio.sleep(0.01)
+    assert ran == []
+
+
 async def test_a_rental_without_an_answer_is_repeated_under_its_name_which_is_never_reused(state: FakeState) -> None:
     lead, _, _ = leader(state)
     asked: list[str] = []
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,7 +15,7 @@
 from oatport.control.model import job_record
 from oatport.control.placer import Placer
 from oatport.control.predictor import Predictor
-from oatport.control.records import CATALOG_KEY, FLEET, LEADER_KEY, LIVE, Batch, cancel_key, job_key, live_key
+from oatport.control.records import CATALOG_KEY, DARK_KEY, FLEET, LEADER_KEY, LIVE, Batch, cancel_key, job_key, live_key
 from oatport.control.recovery import load
 from oatport.settings import (
     CloudLimits,
@@ -87,7 +87,7 @@
         )
         assert status == 200
         self.cluster = Cluster(value["ledgerRev"], self.settings, Tuning(), dict(TYPES), Predictor())
-        rows = self.state.list(FLEET)[1]["rows"] + self.state.list(LIVE)[1]["rows"]
+        rows = [row for prefix in (DARK_KEY, FLEET, LIVE) for row in self.state.list(prefix)[1]["rows"]]
         load(self.cluster, rows, self.now, self.now)
         self.placer = Placer(self.cluster)
         self.fleet = Fleet(self.cluster)
