--- a/oatport/control/darkness.py
+++ b/oatport/control/darkness.py
@@ -7,10 +7,13 @@
 anywhere else meanwhile. The rules here, in order of worth:
 
 1. A replica that may run in another zone leaves before its lease can end, a few at a time, so that each is missed
-   only for a start. One that may not (its job's spread over zones allows no more in the others) stays: it is back
-   where its image is as soon as the zone is.
-2. Machines without such replicas are kept for as long again as a new one would take to boot: what is cut off for
-   long then costs at most twice what is lost by giving up at once (the ski rental rule).
+   only for a start and a fetch, and a leader that ends meanwhile leaves few of them nowhere.
+   One that may not (its job's spread over zones allows no more in the others) stays: it is back where its image
+   is as soon as the zone is.
+2. Machines without replicas are kept until what they run is done, as predicted, if their like is to be had
+   elsewhere (a result is kept: started again, such a task is done at once). If it is not, for as long after the leases'
+   end as a new one would take to boot: what is cut off for long then costs at most twice what is lost by giving up at
+   once (the ski rental rule).
 """
 
 from __future__ import annotations
@@ -19,14 +22,14 @@
 from dataclasses import dataclass, field
 
 from oatport.control.cluster import Cluster
+from oatport.control.fleet import Fleet
 from oatport.control.model import Job, Kind, Machine, Phase, zone_cap
 from oatport.control.recovery import OutageClock
 from oatport.settings import ClusterSettings
 from oatport.times import SECOND, micros
 
 REPLICAS_AT_ONCE = 24  # missed at the same time while they leave
-LEAVE_EACH = SECOND // 5  # what moving the replicas of one machine takes, as planned for
-LEAVE_EARLY = 4 * SECOND
+LEAVE_AFTER = 6 * SECOND  # a cut that ends before that costs nothing
 KEEP_BOUND = 600 * SECOND  # replicas that may run nowhere else: their machines are given up after this
 
 
@@ -58,13 +61,13 @@
     """Which machines of dark zones to give up now; asked again and again."""
 
     cluster: Cluster
+    fleet: Fleet
     _room: dict[Job, int] = field(default_factory=dict)
 
     def now(self, now: int, kept: frozenset[str]) -> list[Machine]:
         """`kept`: zones in which a node answers the workers."""
         chosen: list[Machine] = []
         self._room.clear()
-        missed = self._missed()
         for zone, since in self.cluster.dark.items():
             alive = lives_until(self.cluster.settings, since, zone in kept)
             there = sorted(
@@ -75,13 +78,15 @@
             movers = self._movers(there)
             if now >= alive:
                 chosen += [machine for machine, _ in movers]
-                chosen += [m for m in there if m not in chosen and self._given_up(m, now, since, alive)]
-            elif now >= alive - LEAVE_EARLY - LEAVE_EACH * len(movers):
+            elif now - since > LEAVE_AFTER:
+                missed = self._missed()
                 for machine, replicas in movers:
-                    if missed + replicas > REPLICAS_AT_ONCE > replicas:
-                        continue
+                    if missed and missed + replicas > REPLICAS_AT_ONCE:
+                        break
                     missed += replicas
                     chosen.append(machine)
+            moving = {machine for machine, _ in movers}
+            chosen += [m for m in there if m not in moving and self._given_up(m, now, since, alive)]
         return chosen
 
     def _missed(self) -> int:
@@ -114,9 +119,18 @@
                     self._room[job] -= count
         return found
 
-    @staticmethod
-    def _given_up(machine: Machine, now: int, since: int, alive: int) -> bool:
-        """Its tasks are dead by now, and none of them is a replica that could be elsewhere."""
+    def _given_up(self, machine: Machine, now: int, since: int, alive: int) -> bool:
+        """It holds no replica that could be elsewhere: is the rest of what it runs worth keeping it?"""
         if any(task.job.kind is Kind.SERVICE and not task.job.cancelled for task in machine.tasks):
             return now - since > KEEP_BOUND
-        return now > alive + micros(machine.type.boot_s)
+        if now > alive + micros(machine.type.boot_s):
+            return True
+        return self.fleet.to_be_had(machine, now) and now >= min(self._done_by(machine, since), alive)
+
+    def _done_by(self, machine: Machine, since: int) -> int:
+        """When its tasks are done, as predicted; those of an earlier leader ran before it was last heard."""
+        predictor = self.cluster.predictor
+        return max(
+            ((t.running_since or since) + predictor.run_time(t.job.ref, t.job.spec) for t in machine.tasks),
+            default=since,
+        )
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -19,6 +19,7 @@
 DEAR = 2.5
 DARK_PAUSE = 20 * SECOND
 REFUSED_PAUSE = 20 * SECOND
+GRANTED_FOR = 30 * SECOND
 MOVES_AT_ONCE = 6
 MOVES_TRIED = 4
 MOVE_GAP = SECOND // 4  # a replica is gone for that long even where its image is
@@ -56,6 +57,7 @@
 class Fleet:
     cluster: Cluster
     refused: dict[tuple[str, str, bool], int] = field(default_factory=dict)  # until when not to ask again
+    granted: dict[tuple[str, str, bool], int] = field(default_factory=dict)  # when all that was asked for was rented
     under_way: list[Rental] = field(default_factory=list)  # asked for, not answered
     _free_rooms: list[_Room] = field(default_factory=list)
     _sorts: Counter[tuple[str, str, bool]] = field(default_factory=Counter)  # machines there are
@@ -63,6 +65,16 @@
     def refuse(self, rental: Rental, now: int) -> None:
         self.refused[(rental.type, rental.zone, rental.spot)] = now + REFUSED_PAUSE
 
+    def grant(self, rental: Rental, now: int) -> None:
+        self.granted[(rental.type, rental.zone, rental.spot)] = now
+
+    def to_be_had(self, machine: Machine, now: int) -> bool:
+        """Its like was rented in another zone a moment ago. What was not tried is not known to be there."""
+        return any(
+            now - self.granted.get((machine.type.name, zone, machine.spot), -GRANTED_FOR) < GRANTED_FOR
+            for zone in machine.type.zones if zone not in self.cluster.dark
+        )
+
     def _asked(self, type_name: str, zone: str, spot: bool) -> bool:
         return any((r.type, r.zone, r.spot) == (type_name, zone, spot) for r in self.under_way)
 
@@ -360,10 +372,10 @@
         emptying = [m for m in cluster.machines.values() if m.emptying and m.tasks and not m.releasing]
         chosen = emptying[0] if emptying else None
         if chosen is None:
-            spare = self._spare()
+            room = self._spare() - self._warm_cpus()
             movable = [
                 m for m in owned
-                if m.tasks and spare - m.type.cpus >= self._warm_cpus() and all(self._settled(t, now) for t in m.tasks)
+                if m.tasks and m.type.cpus <= room and all(self._settled(t, now) for t in m.tasks)
             ]
             # The one that saves most for each replica that has to move.
             movable.sort(key=lambda m: (m.steady_cpus / m.price, m.name))
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -22,6 +22,7 @@
         super().__init__(cluster)
         self._gpus_kept = False
         self._rankings: dict[tuple[object, ...], Ranking] = {}  # of the pass under way
+        self._claimed: list[Machine] = []  # in it, in order
 
     def plan(self, now: int) -> int:
         """Claim machines for as many waiting tasks as possible; the number claimed."""
@@ -43,6 +44,7 @@
         self._crowded = self._work_beside(waiting, usable)
         self._gpus_kept = any(m.type.gpus > 0 for m in roomy)  # who may use them depends on the run time
         self._rankings.clear()
+        self._claimed.clear()
         zones = {m.zone for m in usable}
         claimed = 0
         # What found no room in this pass, by all else that decides about room: nothing as large will either.
@@ -119,8 +121,7 @@
             if job.kind is Kind.SERVICE and self._make_warm_room(job, machine, usable, now):
                 return got, machine
             self.cluster.claim(job, machine, now)
-            for ranking in self._rankings.values():
-                ranking.changed(machine)
+            self._claimed.append(machine)
             got += 1
         return got, None
 
@@ -158,7 +159,10 @@
         ranking = self._rankings.get(key)
         if ranking is None:
             may = self._suits(job)
-            ranking = self._rankings[key] = Ranking(roomy, may, lambda m: self._merit(job, m, within))
+            ranking = self._rankings[key] = Ranking(
+                roomy, may, lambda m: self._merit(job, m, within), len(self._claimed)
+            )
+        ranking.catch_up(self._claimed)
         return ranking
 
     def _make_warm_room(self, job: Job, machine: Machine, usable: list[Machine], now: int) -> bool:
@@ -202,6 +206,7 @@
         job.gang_attempt = max([job.gang_attempt, *(t.attempt for t in job.tasks.values())]) + 1
         for machine in best:
             self.cluster.claim(job, machine, now, attempt=job.gang_attempt)
+        self._claimed += best
         return need
 
     def _gang_waits_for(self, job: Job, roomy: list[Machine], booting: list[Machine]) -> set[Machine]:
--- a/oatport/control/ranking.py
+++ b/oatport/control/ranking.py
@@ -2,7 +2,7 @@
 
 A planning pass in which much waits and much is free (a start, a zone that is back) looked at every machine for every
 task of every job: work that grew with the square of the size. Jobs that look for the same things share a ranking, and
-a claim moves one machine in each.
+a claim moves one machine in those that are used again.
 """
 
 from __future__ import annotations
@@ -18,15 +18,17 @@
 class Ranking:
     """`may`: has it room, and is it of the right kind? `merit`: the smaller the better.
 
-    Both are asked again when a machine comes up, and `changed` is to be told of each whose answer may be better
-    than before. Ties go to the machine that comes first in the pass.
+    Both are asked again when a machine comes up, and `catch_up` reads which may have become better. Ties go to the
+    machine that comes first in the pass.
     """
 
     def __init__(
-        self, machines: Iterable[Machine], may: Callable[[Machine], bool], merit: Callable[[Machine], Merit]
+        self, machines: Iterable[Machine], may: Callable[[Machine], bool], merit: Callable[[Machine], Merit],
+        read: int = 0,
     ) -> None:
         self._may = may
         self._merit = merit
+        self._read = read  # claims of this pass that it knows of
         self._place: dict[Machine, int] = {}
         self._heaps: dict[str, list[tuple[Merit, int, Machine]]] = {}
         for place, machine in enumerate(machines):
@@ -40,11 +42,16 @@
     def zones(self) -> Collection[str]:
         return self._heaps.keys()
 
-    def changed(self, machine: Machine) -> None:
-        """A task was claimed on it: it may rank higher now."""
-        place = self._place.get(machine)
-        if place is not None and self._may(machine):
-            heapq.heappush(self._heaps.setdefault(machine.zone, []), (self._merit(machine), place, machine))
+    def catch_up(self, claimed: list[Machine]) -> None:
+        """Machines on which tasks were claimed in this pass, in order: they may rank higher now.
+
+        Read from where it was left; a ranking that is not asked any more costs nothing.
+        """
+        for machine in dict.fromkeys(claimed[self._read:]):
+            place = self._place.get(machine)
+            if place is not None and self._may(machine):
+                heapq.heappush(self._heaps.setdefault(machine.zone, []), (self._merit(machine), place, machine))
+        self._read = len(claimed)
 
     def drop(self, machines: Iterable[Machine]) -> None:
         """Nobody takes these any more in this pass."""
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -39,7 +39,7 @@
         self.state = helm.state
         self.tuning = helm.tuning
         self.group = helm.group
-        self.watcher = Watcher(helm, session, self.release)
+        self.watcher = Watcher(helm, session, self.release, self.fleet)
         self._requests = 0
         self._listed_at = 0
 
@@ -150,6 +150,8 @@
                 return
             if len(names) < rental.count:
                 self.fleet.refuse(rental, steady())
+            else:
+                self.fleet.grant(rental, steady())
             log.info("rented %d %s in %s (spot %s)", len(names), rental.type, rental.zone, rental.spot)
             for name in names:
                 self.cluster.add_machine(
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -11,7 +11,7 @@
 from oatport.clients.http import NoAnswer, Refused
 from oatport.clients.worker import WorkerClient
 from oatport.control.darkness import Leaving
-from oatport.control.fleet import RELEASE_MOST
+from oatport.control.fleet import RELEASE_MOST, Fleet
 from oatport.control.model import Machine
 from oatport.control.records import LEADER_KEY
 from oatport.control.recovery import cut_off, dark_suspects, deaf, silent
@@ -32,7 +32,8 @@
     """Acts for a leader; what is judged lost goes to `release`, whose answer proves it gone."""
 
     def __init__(
-        self, helm: Helm, session: aiohttp.ClientSession, release: Callable[[list[Machine], str], Awaitable[None]]
+        self, helm: Helm, session: aiohttp.ClientSession, release: Callable[[list[Machine], str], Awaitable[None]],
+        fleet: Fleet,
     ) -> None:
         self._helm = helm
         self._session = session
@@ -42,6 +43,7 @@
         self.state = helm.state
         self.tuning = helm.tuning
         self.group = helm.group
+        self._leaving = Leaving(helm.cluster, fleet)
         self._asked_at = 0
         self._confirmed_at = 0
 
@@ -112,7 +114,7 @@
 
     async def _leave_dark(self, now: int) -> None:
         """Give up machines of zones that are cut off, where something is won by it (`control/darkness.py`)."""
-        leaving = Leaving(self.cluster).now(now, self._kept()) if self.cluster.dark else []
+        leaving = self._leaving.now(now, self._kept()) if self.cluster.dark else []
         if not leaving or self._helm.stalled(now):
             return
         if now - self._confirmed_at > CONFIRMED:
