--- a/oatport/cli.py
+++ b/oatport/cli.py
@@ -9,11 +9,16 @@
 import logging
 import os
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from oatport import __version__
+from oatport.lab.cli import add as add_lab
+from oatport.lab.cli import run as run_lab
 from oatport.settings import SettingsError, load, load_tuning
 
+if TYPE_CHECKING:
+    from oatport.windows.settings import WindowSettings
+
 LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -28,6 +33,10 @@
     serve.add_argument("file", help="platform settings file (TOML)")
     check = commands.add_parser("check", help="check settings files and exit")
     check.add_argument("file", help="platform settings file (TOML)")
+    explain = commands.add_parser("explain", help="why a job is held for a cheaper window, and until when")
+    explain.add_argument("--node", required=True, metavar="HOST:PORT", help="a controller node's internal address")
+    explain.add_argument("ref", help="the job's id")
+    add_lab(commands)
     for name, text in (("submit", "submit a job"), ("show", "show a job"), ("cancel", "cancel a job")):
         command = commands.add_parser(name, help=text)
         command.add_argument("--node", required=True, metavar="HOST:PORT", help="a controller node")
@@ -50,15 +59,24 @@
     logging.getLogger("aiohttp").setLevel(max(level, logging.WARNING))
 
 
+def load_windows(tuning: str | None) -> WindowSettings | None:
+    if tuning is None:
+        return None
+    from oatport.windows.settings import load as load_section
+
+    return load_section(tuning)
+
+
 def serve(config: str, tuning: str | None) -> int:
     settings, own = load(config), load_tuning(tuning)
+    windows = load_windows(tuning)
     set_up_logging()
     from oatport.service.node import Node
 
     # What was imported lives as long as the process: keep the collector off it.
     gc.collect()
     gc.freeze()
-    asyncio.run(Node(settings, own).run())
+    asyncio.run(Node(settings, own, windows).run())
     return 0
 
 
@@ -81,6 +99,26 @@
     return 0
 
 
+async def _explain(node: str, ref: str) -> int:
+    from oatport.clients.http import NoAnswer, make_session
+    from oatport.clients.peer import PeerClient
+    from oatport.times import SECOND
+
+    session = make_session(64)
+    try:
+        tag, answer = await PeerClient(session, node, node).ask("explain", ref, timeout_us=5 * SECOND)
+    except (NoAnswer, ValueError) as error:
+        print(f"oatport: {node}: no answer: {error}", file=sys.stderr)
+        return 2
+    finally:
+        await session.close()
+    if tag != "explained":
+        print(f"oatport: {node}: {answer}", file=sys.stderr)
+        return 1
+    print(json.dumps(answer, indent=2))
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
     arguments = _parser().parse_args(argv)
     try:
@@ -89,12 +127,17 @@
         if arguments.command == "check":
             load(arguments.file)
             load_tuning(arguments.tuning)
+            load_windows(arguments.tuning)
             print(f"{arguments.file}: ok")
             return 0
         if arguments.command == "submit":
             with (sys.stdin if arguments.file == "-" else open(arguments.file, encoding="utf-8")) as source:
                 job = json.load(source)
             return asyncio.run(_call(arguments.node, "POST", "/submissions", job))
+        if arguments.command == "lab":
+            return run_lab(arguments)
+        if arguments.command == "explain":
+            return asyncio.run(_explain(arguments.node, arguments.ref))
         if arguments.command in ("show", "cancel"):
             path = f"/submissions/{arguments.ref}"
             if arguments.command == "cancel":
--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -140,6 +140,11 @@
     """
     pools: dict[tuple[str, ...], _Pool] = {}
     waits: dict[Job, tuple[int, int | None]] = {}
+    for job, tasks in cluster.coming:  # held work that is let go before long: else its release meets a full house
+        suited = tuple(kind.name for kind in cluster.suited(job))
+        pools.setdefault(suited, _pool(by_type, suited)).left_total += (
+            cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * tasks
+        )
     for job in order:
         suited = tuple(kind.name for kind in cluster.suited(job))
         pool = pools.get(suited)
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -118,9 +118,6 @@
                     self.replan = True
         return found
 
-    def dark_value(self) -> dict[str, int]:
-        return {zone: since + self.wall_offset for zone, since in self.dark.items()}
-
     def _heard_again(self, zone: str, now: int) -> None:
         """A zone is back: its machines were silent for its sake, and have a moment to be heard of."""
         log.info("zone %s is heard from again", zone)
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -67,6 +67,26 @@
         self.repeat_start_at = 0
 
 
+@dataclass(slots=True)
+class Hold:
+    """Why some of a job's tasks may not start yet; recorded with the job, so that the next leader goes on from it."""
+
+    plan: list[tuple[int, int]]  # from when (time of day) how many more may start
+    why: str
+    changes: int = 0  # times that it was written: bounded
+    paused_until: int = 0  # time of day; running tasks were stopped for a cheaper hour
+    pauses: int = 0
+
+    def value(self, opened: int) -> dict[str, Any]:
+        return {"open": opened, "plan": [list(row) for row in self.plan], "why": self.why, "n": self.changes,
+                "paused": self.paused_until, "pauses": self.pauses}
+
+    @classmethod
+    def of(cls, value: Any) -> Hold:
+        return cls([(int(at), int(count)) for at, count in value["plan"]], str(value["why"]), int(value["n"]),
+                   int(value.get("paused", 0)), int(value.get("pauses", 0)))
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     ref: str
@@ -79,6 +99,8 @@
     cancel_after: int = 0  # steady; its cancellation was told after this. 0: not known
     tasks: dict[int, Task] = field(default_factory=dict)
     fresh: int = 0  # tasks from here on were never touched
+    opened: int = -1  # tasks from here on are held back (-1: none is)
+    hold: Hold | None = None
     again: deque[int] = field(default_factory=deque)  # touched and pending
     done: set[int] = field(default_factory=set)
     on_machines: int = 0  # claimed or placed
@@ -107,7 +129,15 @@
 
     @property
     def pending(self) -> int:
-        return self.spec.tasks - self.fresh + len(self.again)
+        """Tasks that want a machine now; those held for later don't."""
+        if self.opened < 0:
+            return self.spec.tasks - self.fresh + len(self.again)
+        return max(self.opened - self.fresh, 0) + len(self.again)
+
+    @property
+    def held(self) -> int:
+        """Tasks that may not start yet."""
+        return 0 if self.opened < 0 else self.spec.tasks - max(self.opened, self.fresh)
 
     @property
     def deadline(self) -> int | None:
@@ -117,7 +147,7 @@
     def next_pending(self) -> int | None:
         if self.again:
             return self.again[0]
-        return self.fresh if self.fresh < self.spec.tasks else None
+        return self.fresh if self.fresh < (self.spec.tasks if self.opened < 0 else self.opened) else None
 
     def take_pending(self) -> Task:
         """Remove the first pending task from the queue; the caller claims it."""
@@ -150,6 +180,8 @@
             value["tier"], value["lost"] = self.tier, self.lost
             if self.suspect:
                 value["errors"] = self.errors
+            if self.hold is not None:
+                value["hold"] = self.hold.value(self.opened)
         return value
 
     def live_value(self) -> dict[str, Any]:
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -61,6 +62,8 @@
 
     def __init__(self, predictor: Predictor) -> None:
         self.predictor = predictor
+        # Records that there is one of each, and what is to be written there.
+        self.singles: dict[str, Callable[[], dict[str, Any]]] = {MODEL_KEY: predictor.record}
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.to_send: set[Machine] = set()  # machines with commands that should not wait for a report
@@ -97,10 +100,6 @@
             for machine in self.machines.values() if low <= machine.number < low + FLEET_CHUNK
         ]}
 
-    def dark_value(self) -> dict[str, int]:
-        """Zones that are cut off, and since when by the time of day."""
-        raise NotImplementedError
-
     def _job_keys(self, job: Job) -> list[str]:
         """All keys that job may have under live/, head first."""
         chunks = (job.fresh + CHUNK_TASKS - 1) // CHUNK_TASKS if job.fresh else 0
@@ -184,10 +183,8 @@
                 batch.drops.append(key)
             else:
                 return
-        elif key == MODEL_KEY:
-            batch.sets[key] = self.predictor.record()
-        elif key == DARK_KEY:
-            batch.sets[key] = {"zones": self.dark_value()}
+        elif key in self.singles:
+            batch.sets[key] = self.singles[key]()
         else:
             ref, number = chunk_of(key)
             job = self.jobs.get(ref)
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -11,7 +11,7 @@
 
 from oatport import wire
 from oatport.control.cluster import DARK_LEAST, Cluster
-from oatport.control.model import CHUNK_TASKS, Job, Machine, Phase, Task
+from oatport.control.model import CHUNK_TASKS, Hold, Job, Machine, Phase, Task
 from oatport.control.records import CANCEL_MARK, DARK_KEY, FLEET, LIVE, MODEL_KEY, cancel_key, chunk_key, live_key
 from oatport.settings import ClusterSettings
 from oatport.times import SECOND, micros, with_drift
@@ -104,6 +104,8 @@
         job.tier, job.lost = str(value.get("tier", "")), int(value.get("lost", 0))
         job.errors = int(value.get("errors", 0))
         job.suspect = job.errors > 0
+        if "hold" in value:
+            job.hold, job.opened = Hold.of(value["hold"]), int(value["hold"]["open"])
     rows = value["t"]
     # Tasks between the known ones were never touched but are below the mark now.
     while job.fresh < low + len(rows):
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from oatport import wire
 from oatport.control import faults
-from oatport.control.model import PRIORITIES, Job, Kind, Machine, Phase, Task, allowed_types
+from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
 from oatport.control.predictor import Predictor
-from oatport.control.records import Records, cancel_key, live_key
+from oatport.control.records import DARK_KEY, Records, cancel_key, live_key
 from oatport.control.router import SPOT, Router
 from oatport.settings import ClusterSettings, Team, Tuning
 from oatport.times import SECOND, micros
@@ -78,8 +80,15 @@
         self.usable_now: list[Machine] = []
         self.dark: dict[str, int] = {}  # zones that nothing is heard from -> since when (steady)
         self.back: set[str] = set()  # zones that are heard from again: their machines are to be asked at once
+        self.singles[DARK_KEY] = self.dark_value
+        self.coming: list[tuple[Job, int]] = []  # held work that is let go soon, and how many tasks: it counts as ahead
+        self.on_measured: Callable[[Job, int], None] = lambda job, took: None  # a task's run time was seen
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
 
+    def dark_value(self) -> dict[str, Any]:
+        """Zones that are cut off, and since when by the time of day."""
+        return {"zones": {zone: since + self.wall_offset for zone, since in self.dark.items()}}
+
     # --- jobs -------------------------------------------------------------------------------
 
     def add_job(self, ref: str, spec: wire.Submission, version: int, submitted_at: int) -> Job:
@@ -124,6 +133,25 @@
         left = [job.cancel_after for job in self.jobs.values() if job.cancelled and (job.on_machines or job.strays)]
         return min([known_at, *left])
 
+    def hold(self, job: Job, opened: int, hold: Hold) -> None:
+        """Of its tasks only the first `opened` may start; recorded, so that the next leader holds it as well."""
+        job.opened, job.hold = opened, hold
+        if not job.pending:
+            self.waiting.discard(job)
+        elif not (job.cancelled or job.finishing):
+            self.waiting.add(job)
+        self.replan = True
+        hold.changes += 1
+        self.dirty[live_key(job.ref)] = None
+
+    def let_go(self, job: Job, count: int) -> None:
+        """So many more tasks of a held job may start. Not written by itself: the plan that is recorded says so."""
+        if job.opened < 0 or job.cancelled or job.finishing:
+            return
+        job.opened = min(max(job.opened, job.fresh) + count, job.spec.tasks)
+        self.waiting.add(job)
+        self.replan = True
+
     def _clean_if_gone(self, job: Job) -> None:
         if job.cancelled and job.on_machines == 0 and job.strays == 0:
             self.to_clean[job] = None
@@ -248,6 +276,7 @@
             took = now - task.running_since
             if machine is not None:
                 self._learn_speed(machine, took, self.predictor.run_time(job.ref, job.spec))
+            self.on_measured(job, took)
             self.predictor.finished(job.ref, job.spec, took)
         if machine is not None:
             faults.task_done(job, machine, self.machines, now)
--- /dev/null
+++ b/oatport/lab/page.py
@@ -0,0 +1,89 @@
+"""The night as an HTML page: figures and plots in one file, by jinja2 and matplotlib."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import jinja2
+import matplotlib
+
+matplotlib.use("svg")
+from markupsafe import Markup
+from matplotlib import pyplot
+from matplotlib.figure import Figure
+
+from oatport.lab.night import Night
+from oatport.lab.windows import TICK, Outcome
+from oatport.times import SECOND
+
+TEMPLATE = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined).from_string("""<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>oatport: a night by windows, seed {{ result.seed }}</title>
+<style>
+body { font: 15px/1.5 system-ui, sans-serif; max-width: 64rem; margin: 2rem auto; padding: 0 1rem; color: #222 }
+table { border-collapse: collapse } td, th { padding: .3rem .9rem; border-bottom: 1px solid #ddd; text-align: right }
+th:first-child, td:first-child { text-align: left } svg { width: 100%; height: auto }
+.note { color: #666 }
+</style></head><body>
+<h1>A night by windows</h1>
+<p>{{ result.jobs }} jobs on {{ result.capacity_cpus|round|int }} CPUs, seed {{ result.seed }}, fault
+<b>{{ result.fault }}</b>. In virtual time; the jobs and prices are drawn, not recorded.</p>
+<table>
+<tr><th></th><th>all at once</th><th>by windows</th><th>bound</th></tr>
+<tr><td>deadlines met</td>{% for way in ways %}<td>{{ result.deadlines_met[way] }}</td>{% endfor %}</tr>
+<tr><td>cost (CPU-hours times price)</td>{% for way in ways %}
+<td>{{ "%.0f"|format(result.cost[way]) }}</td>{% endfor %}</tr>
+<tr><td>cost against the bound</td>{% for way in ways %}
+<td>{{ "%.2f"|format(result.cost[way] / result.cost.bound) }}</td>{% endfor %}</tr>
+</table>
+<p class="note">Released after the latest safe start: {{ result.released_late }}. Plans made anew: {{ result.replans }}.
+Planning, 99th percentile: {{ result.plan_ms_p99 }} ms. The bound knows all prices and run times beforehand and treats
+work as a fluid: no schedule can reach it.</p>
+{% for title, svg in plots %}<h2>{{ title }}</h2>{{ svg }}{% endfor %}
+</body></html>
+""")
+
+
+def _svg(figure: Figure) -> Any:
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    text = out.getvalue()
+    return Markup(text[text.index("<svg"):])
+
+
+def _night(night: Night, immediate: Outcome, windows: Outcome) -> Any:
+    figure, (above, middle, below) = pyplot.subplots(3, 1, figsize=(10, 8), sharex=True, layout="constrained")
+    above.step(range(len(night.prices)), night.prices, where="post", color="#b3541e")
+    above.set_ylabel("price")
+    for outcome, name, colour in ((immediate, "all at once", "#999999"), (windows, "by windows", "#1f6f8b")):
+        hours = [number * TICK / (3600 * SECOND) for number in range(len(outcome.load))]
+        middle.fill_between(hours, outcome.load, alpha=0.5, label=name, color=colour, linewidth=0)
+    middle.axhline(night.capacity, color="#333333", linewidth=0.8)
+    middle.set_ylabel("CPUs in use")
+    middle.legend()
+    below.plot([n * TICK / (3600 * SECOND) for n in range(len(windows.held))], windows.held, color="#1f6f8b")
+    below.set_ylabel("tasks held")
+    below.set_xlabel("hours since 20:00")
+    return _svg(figure)
+
+
+def _slack(immediate: Outcome, windows: Outcome) -> Any:
+    figure, axes = pyplot.subplots(figsize=(10, 3), layout="constrained")
+    both = [list(outcome.slack.values()) for outcome in (immediate, windows)]
+    axes.hist(both, bins=40, label=["all at once", "by windows"], color=["#999999", "#1f6f8b"])
+    axes.axvline(0, color="#b3541e")
+    axes.set_xlabel("hours between a job's end and its deadline (right of 0: in time)")
+    axes.set_ylabel("jobs")
+    axes.legend()
+    return _svg(figure)
+
+
+def write(path: str, night: Night, immediate: Outcome, windows: Outcome, result: dict[str, Any]) -> None:
+    """Raises OSError if the file can't be written."""
+    matplotlib.rcParams["svg.hashsalt"] = "oatport"  # the same page from the same seed
+    plots = [("Price, load and held work", _night(night, immediate, windows)),
+             ("Jobs by slack", _slack(immediate, windows))]
+    html = TEMPLATE.render(result=result, ways=("immediate", "windows", "bound"), plots=plots)
+    with open(path, "w", encoding="utf-8") as out:
+        out.write(html)
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -32,6 +32,10 @@
 from oatport.settings import Settings, Tuning
 from oatport.times import MS, SECOND, seconds, steady, time_of_day
 
+if TYPE_CHECKING:
+    from oatport.service.windowkeeper import WindowKeeper
+    from oatport.windows.settings import WindowSettings
+
 log = logging.getLogger(__name__)
 
 WATCH_WAIT = 1_000 * MS
@@ -41,7 +45,7 @@
 class Lead:
     def __init__(
         self, home: Home, settings: Settings, tuning: Tuning, session: aiohttp.ClientSession,
-        state: StateClient, token: int, lease: int, held_at: int,
+        state: StateClient, token: int, lease: int, held_at: int, windows: WindowSettings | None = None,
     ) -> None:
         self.home = home
         self.settings = settings
@@ -62,6 +66,11 @@
         self.over = False
         self.keeper = FleetKeeper(self, session)
         self.commits = GroupCommit(self)
+        self.windows: WindowKeeper | None = None
+        if windows is not None and windows.on:
+            from oatport.service.windowkeeper import WindowKeeper
+
+            self.windows = WindowKeeper(self, session, windows)
         self._plan_wanted = asyncio.Event()
         self._send_wanted = asyncio.Event()
         self._sending: set[Machine] = set()
@@ -77,6 +86,8 @@
         if not self.cluster.types:
             await self.keeper.catalog()
         load(self.cluster, rows, steady(), time_of_day())
+        if self.windows is not None:
+            await self.windows.take_over()
         self._watch_from = revision
         self.clock.known(steady())
         self.loaded = True
@@ -91,6 +102,8 @@
         ):
             self.group.keep(name, loop)
         self.keeper.start()
+        if self.windows is not None:
+            self.windows.start()
         introduce_all(self, self._session)
         self.wake()
 
@@ -116,6 +129,15 @@
         """Nobody else can be leading: asked at the moment of acting."""
         return not self.over and self.mandate.holds(steady())
 
+    def explain(self, ref: str) -> dict[str, Any]:
+        """Why a job waits or is held, for operators."""
+        if self.windows is not None:
+            return self.windows.explain(ref)
+        job = self.cluster.jobs.get(ref)
+        if job is None:
+            return {"job": ref, "held": False, "why": "no unfinished job of this id"}
+        return {"job": ref, "held": False, "why": "windows are off: it is routed as ever", "pending": job.pending}
+
     def wake(self) -> None:
         cluster = self.cluster
         if cluster.replan:
@@ -144,7 +166,9 @@
         self.wake()
 
     def _join(self, ref: str, spec: wire.Submission, revision: int, at: int) -> None:
-        self.cluster.add_job(ref, spec, revision, at)
+        job = self.cluster.add_job(ref, spec, revision, at)
+        if self.windows is not None:
+            self.windows.joined(job)
         self.commits.joined()
 
     async def _watch_loop(self) -> None:
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import secrets
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from oatport import wire
 from oatport.api.peers import Message, Peers
@@ -23,6 +23,9 @@
 from oatport.settings import Settings, Tuning
 from oatport.times import MS, SECOND, micros, seconds, steady
 
+if TYPE_CHECKING:
+    from oatport.windows.settings import WindowSettings
+
 log = logging.getLogger(__name__)
 
 PING_EVERY = 700 * MS
@@ -36,8 +39,9 @@
 
 
 class Node:
-    def __init__(self, settings: Settings, tuning: Tuning) -> None:
+    def __init__(self, settings: Settings, tuning: Tuning, windows: WindowSettings | None = None) -> None:
         self.settings = settings
+        self.windows = windows
         self.tuning = tuning
         self.node_name = settings.node_name
         self.boot = secrets.token_hex(6)  # tells this process from an earlier one of the same name
@@ -74,7 +78,7 @@
         for tag, handler in (
             ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
             ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
-            ("carried out", self._on_carried_out),
+            ("carried out", self._on_carried_out), ("explain", self._on_explain),
         ):
             inside.on(tag, handler)
         servers = [
@@ -207,6 +211,16 @@
         lead = self.lead
         return ["carried out", lead.token, lead.carried_out_age()] if lead is not None else ["no"]
 
+    async def _on_explain(self, message: Message) -> Message:
+        """Why a job is held; asked by operators on the internal address, answered by the leader."""
+        ref = str(message[1])
+        if self.lead is not None:
+            return ["explained", self.lead.explain(ref)]
+        peer = self.peers.get(self._leader or "")
+        if peer is None or len(message) > 2:  # it is sent on once
+            return ["no", "no leader is known: ask again in a few seconds"]
+        return await peer.ask("explain", ref, True)
+
     async def _ask_leader(self, peer: PeerClient) -> None:
         asked = steady()
         answer = await peer.ask("carried out")
@@ -448,7 +462,7 @@
         self._take_from = 0
         self._leader, self._leader_token = self.node_name, token
         self._next_heard = steady()
-        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at)
+        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at, self.windows)
         self.lead = lead
         try:
             await lead.take_over()
--- a/oatport/settings.py
+++ b/oatport/settings.py
@@ -95,6 +95,9 @@
     peers: list[Peer] = []
 
 
+ELSEWHERE = ("windows",)  # sections of the same file that are checked by the package they are for
+
+
 @dataclass(frozen=True, slots=True)
 class Tuning:
     """Operators' own settings (INI), all optional. Times in seconds; docs/operations.md explains them."""
@@ -194,6 +197,8 @@
     known = {(f.metadata["section"], f.name): f for f in fields(Tuning)}
     values: dict[str, float] = {}
     for section in parser.sections():
+        if section.split(" ")[0] in ELSEWHERE:
+            continue
         for name, text in parser.items(section):
             spec = known.get((section, name))
             if spec is None:
--- /dev/null
+++ b/oatport/windows/client.py
@@ -0,0 +1,77 @@
+"""Asking the price feed: one question at a time, each with a deadline, never more often than allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import aiohttp
+
+from oatport import wire
+from oatport.clients.http import Bucket, jitter
+from oatport.times import SECOND, micros, seconds, time_of_day
+from oatport.windows.feed import BODY_MOST, JSON_TYPE, decode
+from oatport.windows.prices import BadSeries, Book
+
+log = logging.getLogger(__name__)
+
+RETRY_FIRST, RETRY_MOST = 5 * SECOND, 300 * SECOND
+ASKED_A_SECOND = 0.5  # however short the pauses in the settings
+
+
+class FeedClient:
+    """Keeps a book up to date. `changed` is called when some hour to come costs something else."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, zone: str, book: Book, poll_s: float, timeout_s: float,
+        changed: Callable[[], None],
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._zone = zone
+        self._book = book
+        self._poll = micros(poll_s)
+        self._timeout_s = timeout_s
+        self._changed = changed
+        self._rate = Bucket(ASKED_A_SECOND)
+        self.failures = 0  # in a row
+
+    async def loop(self) -> None:
+        while True:
+            pause = await self.step()
+            await asyncio.sleep(pause)
+
+    async def step(self) -> float:
+        """Ask once; how long to wait before the next (seconds)."""
+        await self._rate.spend()
+        try:
+            body, content_type = await self._fetch()
+            intervals, made_at = decode(body, content_type, self._zone)
+            changed = self._book.learn(intervals, made_at, time_of_day())
+        except (BadSeries, aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            self.failures += 1
+            self._book.problem = f"{type(error).__name__}: {error}"[:200]
+            log.warning("price feed: %s", self._book.problem)
+            return jitter(min(RETRY_FIRST << min(self.failures - 1, 16), RETRY_MOST, max(self._poll, RETRY_FIRST)))
+        self.failures = 0
+        if changed:
+            self._changed()
+        return seconds(self._poll) * 0.9 + jitter(self._poll) * 0.1
+
+    async def _fetch(self) -> tuple[bytes, str]:
+        """The body, read whole within the deadline: an answer that drips is none."""
+        async with asyncio.timeout(self._timeout_s):
+            async with self._session.get(
+                self._url, headers={"Accept": f"{wire.CBOR_TYPE}, {JSON_TYPE}"}, allow_redirects=False,
+            ) as response:
+                if response.status != 200:
+                    raise BadSeries(f"status {response.status}")
+                chunks: list[bytes] = []
+                size = 0
+                async for chunk in response.content.iter_any():
+                    size += len(chunk)
+                    if size > BODY_MOST:
+                        raise BadSeries(f"more than {BODY_MOST} bytes")
+                    chunks.append(chunk)
+                return b"".join(chunks), response.content_type
--- /dev/null
+++ b/oatport/windows/feed.py
@@ -0,0 +1,75 @@
+"""The price feed's format, version 1: what a GET of its address answers, as JSON or CBOR.
+
+    {"v": 1, "zone": "tallinn", "at": 1790000000, "intervals":
+      [{"start": 1790002800, "len": 3600, "price": 84.2, "co2": 310.0}, ...]}
+
+`at`: when the series was made; `start`, `len`: seconds (of the time of day in UTC, and long); `price` per unit of work;
+`co2`: grams per kWh, may be omitted. Unknown fields are ignored. docs/windows.md has the whole of it.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import msgspec
+
+from oatport import wire
+from oatport.times import SECOND
+from oatport.windows.prices import BadSeries, Interval
+
+BODY_MOST = 256 * 1024
+JSON_TYPE = "application/json"
+VERSION = 1
+
+
+class Row(msgspec.Struct, frozen=True):
+    start: float
+    length: float = msgspec.field(name="len")
+    price: float
+    co2: float | None = None
+
+
+class Series(msgspec.Struct, frozen=True):
+    v: int
+    zone: str
+    at: float
+    intervals: list[Row]
+
+
+def decode(body: bytes, content_type: str, zone: str) -> tuple[list[Interval], int]:
+    """The intervals, unchecked but for their form, and when the series was made. Raises BadSeries."""
+    if len(body) > BODY_MOST:
+        raise BadSeries(f"{len(body)} bytes, at most {BODY_MOST}")
+    try:
+        # The standard library's parser takes NaN, which is to be told apart from a broken body.
+        raw: Any = json.loads(body) if content_type.startswith(JSON_TYPE) else wire.loads(body)
+        series = msgspec.convert(raw, Series, strict=True)
+    except (ValueError, RecursionError, wire.BadMessage, msgspec.ValidationError) as error:
+        raise BadSeries(f"not a series: {str(error).splitlines()[0][:120]}") from None
+    if series.v != VERSION:
+        raise BadSeries(f"version {series.v}, not {VERSION}")
+    if series.zone != zone:
+        raise BadSeries(f"of zone {series.zone[:40]!r}, not {zone!r}")
+    for row in series.intervals:
+        if not (math.isfinite(row.start) and math.isfinite(row.length) and 0 <= row.start < 1e11):
+            raise BadSeries("an interval's time is not a usable number")
+        if not 0 < row.length < 1e9:
+            raise BadSeries("an interval's length is out of range")
+    if not math.isfinite(series.at) or not 0 <= series.at < 1e11:
+        raise BadSeries("at: not a usable number")
+    rows = [
+        Interval(round(row.start * SECOND), round((row.start + row.length) * SECOND), row.price, row.co2)
+        for row in series.intervals
+    ]
+    return rows, round(series.at * SECOND)
+
+
+def encode(intervals: list[Interval], zone: str, made_at: int) -> dict[str, Any]:
+    """The same the other way: a body before it is JSON or CBOR."""
+    return {"v": VERSION, "zone": zone, "at": made_at / SECOND, "intervals": [
+        {"start": row.start / SECOND, "len": (row.end - row.start) / SECOND, "price": row.price}
+        | ({"co2": row.co2} if row.co2 is not None else {})
+        for row in intervals
+    ]}
--- /dev/null
+++ b/oatport/windows/settings.py
@@ -0,0 +1,136 @@
+"""Operators' settings of the windows: sections of the tuning file (INI), off unless `[windows] on = yes`."""
+
+from __future__ import annotations
+
+import configparser
+import difflib
+import math
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+from oatport.settings import SettingsError
+
+MAIN = "windows"
+BY_CLASS = "windows class "
+BY_PRIORITY = "windows priority "
+
+
+@dataclass(frozen=True, slots=True)
+class Deferral:
+    """What may be deferred, and what counts for it. `metadata` has the range."""
+
+    price: float = field(default=1.0, metadata={"range": (0.0, 1000.0)})  # weight of the price
+    carbon: float = field(default=0.0, metadata={"range": (0.0, 1000.0)})  # weight of the grams of CO2
+    lateness: float = field(default=0.0, metadata={"range": (0.0, 10.0)})  # cost of waiting to the latest start
+    pause: bool = False  # stop running work that saves, where a much cheaper hour comes in time
+
+
+@dataclass(frozen=True, slots=True)
+class WindowSettings:
+    """All times in seconds."""
+
+    on: bool = False
+    feed: str = ""  # http address of the price feed; empty: none, all hours cost the same
+    zone: str = ""  # whose prices
+    poll_s: float = field(default=300.0, metadata={"range": (2.0, 86400.0)})
+    timeout_s: float = field(default=5.0, metadata={"range": (0.1, 60.0)})
+    fresh_s: float = field(default=7200.0, metadata={"range": (1.0, 1e6)})
+    dead_s: float = field(default=28800.0, metadata={"range": (2.0, 1e7)})
+    step_s: float = field(default=300.0, metadata={"range": (5.0, 3600.0)})
+    horizon_s: float = field(default=129600.0, metadata={"range": (60.0, 604800.0)})
+    capacity_cpus: float = field(default=0.0, metadata={"range": (0.0, 1e7)})
+    reserve_s: float = field(default=180.0, metadata={"range": (0.0, 86400.0)})
+    ahead_s: float = field(default=120.0, metadata={"range": (0.0, 86400.0)})
+    classes: tuple[tuple[str, Deferral], ...] = ()
+    priorities: tuple[tuple[str, Deferral], ...] = ()
+
+    def deferral(self, job_class: str, priority: str) -> Deferral | None:
+        """How a job may be deferred, by its class or else by its priority; None: not at all."""
+        return dict(self.classes).get(job_class) or dict(self.priorities).get(priority)
+
+
+def owns(section: str) -> bool:
+    """Is a section of the tuning file one of these?"""
+    return section == MAIN or section.startswith((BY_CLASS, BY_PRIORITY))
+
+
+def read(parser: configparser.ConfigParser, path: str | Path) -> WindowSettings:
+    """Raises SettingsError: one line that names the field."""
+    values: dict[str, Any] = {}
+    classes: list[tuple[str, Deferral]] = []
+    priorities: list[tuple[str, Deferral]] = []
+    for section in filter(owns, parser.sections()):
+        where = f"{path}: [{section}]"
+        if section == MAIN:
+            values = _values(WindowSettings, dict(parser.items(section)), where)
+            continue
+        name = section.removeprefix(BY_CLASS if section.startswith(BY_CLASS) else BY_PRIORITY).strip()
+        if not name:
+            raise SettingsError(f"{where}: names no class or priority")
+        row = name, Deferral(**_values(Deferral, dict(parser.items(section)), where))
+        if section.startswith(BY_CLASS):
+            classes.append(row)
+        elif name not in ("production", "high", "normal", "idle"):
+            raise SettingsError(f"{where}: no such priority")
+        else:
+            priorities.append(row)
+    settings = WindowSettings(**values, classes=tuple(classes), priorities=tuple(priorities))
+    where = f"{path}: [{MAIN}]"
+    if settings.feed:
+        parts = urlsplit(settings.feed)
+        if parts.scheme != "http" or not parts.hostname:
+            raise SettingsError(f"{where} feed: expected an http address, got {settings.feed!r}")
+        if not settings.zone:
+            raise SettingsError(f"{where} zone: must be given with a feed")
+    if settings.fresh_s >= settings.dead_s:
+        raise SettingsError(f"{where} dead_s: must be above fresh_s")
+    if settings.horizon_s < 2 * settings.step_s:
+        raise SettingsError(f"{where} horizon_s: must be at least two steps")
+    if settings.horizon_s / settings.step_s > 20_000:
+        raise SettingsError(f"{where} step_s: too small for the horizon, at most 20000 steps")
+    if settings.on and settings.capacity_cpus <= 0:
+        raise SettingsError(f"{where} capacity_cpus: must be above 0: how many CPUs deferred work may expect")
+    return settings
+
+
+def load(path: str | Path | None) -> WindowSettings:
+    """From the tuning file; without one, or without the section, they are off."""
+    if path is None:
+        return WindowSettings()
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not INI: {str(error).splitlines()[0]}") from None
+    return read(parser, path)
+
+
+def _values(kind: type, texts: dict[str, str], where: str) -> dict[str, Any]:
+    known = {f.name: f for f in fields(kind) if f.name not in ("classes", "priorities")}
+    values: dict[str, Any] = {}
+    for name, text in texts.items():
+        if name not in known:
+            near = difflib.get_close_matches(name, known, 1)
+            raise SettingsError(f"{where} {name}: no such setting" + (f", did you mean {near[0]}?" if near else ""))
+        default = known[name].default
+        if isinstance(default, bool):
+            flag = configparser.ConfigParser.BOOLEAN_STATES.get(text.lower())
+            if flag is None:
+                raise SettingsError(f"{where} {name}: expected yes or no, got {text!r}")
+            values[name] = flag
+        elif isinstance(default, float):
+            low, high = known[name].metadata["range"]
+            try:
+                value = float(text)
+            except ValueError:
+                raise SettingsError(f"{where} {name}: not a number: {text!r}") from None
+            if not math.isfinite(value) or not low <= value <= high:
+                raise SettingsError(f"{where} {name}: must be {low:g} to {high:g}, got {text}")
+            values[name] = value
+        else:
+            values[name] = text
+    return values
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,462 @@
+"""Cheaper hours: what a feed may say, and held work through failures. The planner's properties: test_planner.py."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oatport.cli import main
+from oatport.clients.http import make_session
+from oatport.control.backlog import _pools_by_type, _work_ahead
+from oatport.control.model import Job
+from oatport.lab.windows import run
+from oatport.service.windowkeeper import KEY, WindowKeeper
+from oatport.settings import SettingsError, Team, load_tuning
+from oatport.times import SECOND, time_of_day
+from oatport.windows.client import FeedClient
+from oatport.windows.feed import decode, encode
+from oatport.windows.holding import MOVES_MOST, DayClock, Holder
+from oatport.windows.margins import Margins
+from oatport.windows.prices import BadSeries, Book, Interval
+from oatport.windows.settings import Deferral, WindowSettings, load
+from standins.feed import FeedServer
+from standins.state import FakeState
+from tests.test_service import leader
+from tests.world import World
+
+HOUR = 3600 * SECOND
+DAY = 500_000 * HOUR
+
+
+def hours(*prices: float, start: int = DAY) -> list[Interval]:
+    return [Interval(start + n * HOUR, start + (n + 1) * HOUR, price) for n, price in enumerate(prices)]
+
+
+def book(*prices: float, now: int = DAY) -> Book:
+    made = Book(2 * HOUR, 8 * HOUR)
+    if prices:
+        made.learn(hours(*prices), now, now)
+    return made
+
+
+# --- what a feed says -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("rows", "made_at", "why"), [
+    ([], 0, "no intervals"),
+    (hours(1.0) + hours(2.0), 0, "overlap"),
+    ([Interval(DAY, DAY, 1.0)], 0, "length"),
+    (hours(math.nan), 0, "not a usable number"),
+    (hours(math.inf), 0, "not a usable number"),
+    (hours(1.0, 1e9), 0, "not a usable number"),
+    (hours(1.0), DAY + HOUR, "in the future"),
+    (hours(*[1.0] * 3000), 0, "at most"),
+])
+def test_a_series_that_cannot_be_used_changes_nothing(rows: list[Interval], made_at: int, why: str) -> None:
+    known = book(5.0, 6.0)
+    with pytest.raises(BadSeries, match=why):
+        known.learn(rows, made_at, DAY)
+    assert [row.price for row in known.rows] == [5.0, 6.0]
+
+
+def test_gaps_and_negative_prices_are_legal_and_what_is_not_known_is_ordinary() -> None:
+    known = book()
+    known.learn([Interval(DAY, DAY + HOUR, -50.0), *hours(100.0, 100.0, start=DAY + 3 * HOUR)], DAY, DAY)
+    unit = known.slots(DAY // HOUR, 6, HOUR, DAY, 1.0, 0.0)
+    assert unit[0] < 0
+    assert unit[1] == unit[2] == unit[5] == 1.0
+    assert unit[3] == unit[4] == 1.0
+
+
+def test_a_series_that_shrinks_takes_nothing_away_and_ages_hour_by_hour() -> None:
+    known = book(10.0, 20.0, 40.0, 20.0)
+    later = DAY + 3 * HOUR // 2
+    known.learn(hours(30.0, start=DAY + 2 * HOUR), later, later)
+    assert [row.price for row in known.rows if row.end > later] == [20.0, 30.0, 20.0]
+    much_later = later + 3 * HOUR
+    weights = {row.price: known.weight(row, much_later) for row in known.rows if row.end > later}
+    assert weights[20.0] < weights[30.0] < 1.0
+
+
+def test_a_stale_series_loses_weight_until_it_counts_for_nothing() -> None:
+    known = book(*[10.0, 30.0] * 12)
+    spread = [max(unit) - min(unit) for unit in (
+        known.slots((DAY + age * HOUR) // HOUR, 4, HOUR, DAY + age * HOUR, 1.0, 0.0) for age in (0, 4, 6, 9)
+    )]
+    assert spread[0] > spread[1] > spread[2] > 0 == spread[3]
+
+
+def test_one_hour_of_a_thousand_does_not_flatten_the_rest_of_the_night() -> None:
+    unit = book(50.0, 100.0, 100_000.0, 50.0, 100.0).slots(DAY // HOUR, 5, HOUR, DAY, 1.0, 0.0)
+    assert unit[2] <= 5.0
+    assert unit[0] < 0.7 * unit[1]
+
+
+def test_clock_changes_of_a_zone_move_no_hour() -> None:
+    """A night of summer time's end has 25 hours of local time: the format has none, each hour is there once."""
+    body = wire_body(encode(hours(*range(1, 26)), "tallinn", DAY))
+    rows, _ = decode(body, "application/json", "tallinn")
+    assert [row.end for row in rows[:-1]] == [row.start for row in rows[1:]]
+
+
+def wire_body(value: Any) -> bytes:
+    import json
+    return json.dumps(value).encode()
+
+
+@pytest.mark.parametrize("body", [
+    b"", b"{}", b"[1]", b"\xff", wire_body({"v": 2, "zone": "z", "at": 1, "intervals": []}),
+    wire_body({"v": 1, "zone": "other", "at": 1, "intervals": []}), b"[" * 100_000,
+    wire_body({"v": 1, "zone": "z", "at": 1, "intervals": [{"start": 0, "len": -1, "price": 1}]}),
+    b'{"v": 1, "zone": "z", "at": NaN, "intervals": []}', b" " * 300_000,
+])
+def test_bodies_that_are_no_series(body: bytes) -> None:
+    with pytest.raises(BadSeries):
+        decode(body, "application/json", "z")
+
+
+async def test_a_feed_that_fails_leaves_the_last_good_series() -> None:
+    """Silent, slow, dripping, too large, broken, refusing: each ends within its deadline and changes nothing."""
+    feed, known, changed = FeedServer("z"), book(), []
+    url = await feed.start()
+    session = make_session(16)
+    client = FeedClient(session, url, "z", known, 60.0, 0.3, lambda: changed.append(1))
+    client._rate.level = client._rate.rate = 100.0
+    now = time_of_day()
+    feed.intervals, feed.made_at = hours(10.0, 20.0, start=now), now
+    try:
+        await client.step()
+        assert [row.price for row in known.rows] == [10.0, 20.0]
+        for mode in ("silent", "refuse", "drip", "huge", "broken"):
+            feed.mode = mode
+            pause = await client.step()
+            assert pause >= 2.0
+            assert known.problem
+            assert [row.price for row in known.rows] == [10.0, 20.0]
+        assert client.failures == 5
+        feed.mode, feed.as_json = "good", False
+        feed.intervals = hours(10.0, 25.0, start=now)
+        await client.step()
+        assert client.failures == 0
+        assert len(changed) == 2
+    finally:
+        await session.close()
+        await feed.close()
+
+
+# --- held work ------------------------------------------------------------------------------------
+
+
+class Night:
+    """A world with one machine's worth of room, and a holder on its leader's view."""
+
+    def __init__(self, *prices: float, capacity: float = 8.0, **deferral: Any) -> None:
+        self.world = World([Team("crew")])
+        self.world.now = DAY
+        for number in (1, 2):
+            worker = self.world.machine(number)
+            worker.answered_at, worker.lease_us = DAY, 24 * HOUR  # steps are longer than a real lease
+        self.world.settle(2)
+        self.settings = WindowSettings(
+            on=True, capacity_cpus=capacity, reserve_s=60.0, step_s=300.0, horizon_s=86400.0,
+            classes=(("train", Deferral(**deferral)),),
+        )
+        self.book = book(*prices)
+        self.holder = Holder(self.world.cluster, self.settings, self.book, self.world.now)
+
+    def submit(self, **changes: Any) -> Job:
+        ref = self.world.submit(**{"voyageS": 300.0, "tideS": 4 * 3600.0, "legs": 2, **changes})
+        job = self.world.cluster.jobs[ref]
+        self.holder.joined(job, self.world.now)
+        return job
+
+    def go(self, seconds: float, step: float = 5.0) -> None:
+        until = self.world.now + round(seconds * SECOND)
+        while self.world.now < until:
+            self.world.step(step)
+            self.holder.tick(self.world.now)
+            self.world.commit()
+
+    def take_over(self) -> None:
+        self.world.take_over()
+        self.holder = Holder(self.world.cluster, self.settings, self.book, self.world.now)
+        for job in list(self.world.cluster.jobs.values()):
+            self.holder.joined(job, self.world.now)
+
+
+def test_a_job_waits_for_the_cheap_hour_and_is_done_in_time() -> None:
+    night = Night(50.0, 50.0, 10.0, 50.0, 50.0)
+    job = night.submit()
+    night.go(600, 30)
+    assert not night.world.live(job.ref)
+    assert night.world.cluster.waiting == set()  # held, not waiting: nothing is rented or stopped for it
+    said = night.holder.explain(job.ref, night.world.now)
+    assert said["held"] and said["saves"] > 0.5 and 0 < said["until_s"] <= 2 * 3600
+    night.go(2 * 3600, 30)
+    assert night.world.live(job.ref) or night.world.record(job.ref) == "done"
+    night.go(900, 30)
+    assert night.world.record(job.ref) == "done"
+
+
+def test_a_deadline_inside_a_dear_window_is_kept() -> None:
+    night = Night(20.0, 500.0, 500.0, 1.0)
+    job = night.submit(tideS=2 * 3600.0)
+    night.go(2 * 3600, 30)
+    assert night.world.record(job.ref) == "done"
+
+
+def test_what_takes_three_times_as_long_as_estimated_still_ends_in_time() -> None:
+    night = Night(50.0, 50.0, 10.0, 10.0)
+    job = night.submit(tideS=3 * 3600.0)
+    night.world.jobs[job.ref]["voyageS"] = 900.0
+    night.go(3 * 3600, 30)
+    assert night.world.record(job.ref) == "done"
+
+
+@pytest.mark.parametrize("tide", [30.0, 300.0, 700.0])
+def test_a_job_without_slack_starts_at_once(tide: float) -> None:
+    night = Night(50.0, 1.0)
+    assert night.submit(tideS=tide).opened < 0
+
+
+def test_services_and_jobs_without_a_deadline_are_never_held() -> None:
+    night = Night(50.0, 1.0, 1.0)
+    assert night.submit(tideS=None).opened < 0
+    assert night.submit(ref="j-000002", rig="standing", driftwood=False).opened < 0
+    assert night.submit(ref="j-000003", cargo="other").opened < 0
+
+
+def test_a_new_leader_holds_and_lets_go_as_the_last_one_would_have() -> None:
+    night = Night(50.0, 50.0, 10.0, 50.0)
+    job = night.submit()
+    night.world.commit()
+    plan = dict(night.holder.planner.plans[job.ref].starts)
+    night.book = book(1.0, 90.0, 90.0, 90.0)  # it would plan otherwise itself
+    night.take_over()
+    again = night.world.cluster.jobs[job.ref]
+    assert again.held == 2
+    assert again not in night.world.cluster.waiting
+    assert night.holder.planner.plans[job.ref].starts == plan
+
+
+def test_a_leader_killed_between_release_and_placement_releases_nothing_twice() -> None:
+    night = Night(50.0, 10.0, 10.0, 50.0, capacity=16.0)
+    job = night.submit(legs=4)
+    night.world.commit()
+    night.world.now += HOUR + SECOND
+    assert night.holder.tick(night.world.now) == 4  # let go, nothing written about that
+    night.take_over()
+    assert night.world.cluster.jobs[job.ref].held in (0, 4)
+    night.go(1800, 30)
+    started = [key for worker in night.world.workers.values() for key in worker.starts]
+    assert sorted(started) == sorted({(f"{job.ref}/{n}", 1) for n in range(4)})
+    assert night.world.record(job.ref) == "done"
+
+
+def test_a_plan_let_go_in_part_is_recorded_with_what_is_left_of_it() -> None:
+    night = Night(50.0, 10.0, 50.0, 12.0, 50.0)
+    job = night.submit(legs=6, tideS=5 * 3600.0)
+    night.world.commit()
+    assert job.hold is not None
+    assert sum(count for _, count in job.hold.plan) == 6
+    night.go(3600 + 400, 50)
+    assert 0 < job.opened < 6
+    night.take_over()
+    again = night.world.cluster.jobs[job.ref]
+    assert again.hold is not None
+    assert max(again.opened, again.fresh) + sum(count for _, count in again.hold.plan) == 6
+
+
+def test_a_cancelled_held_job_goes_at_once() -> None:
+    night = Night(50.0, 50.0, 10.0)
+    job = night.submit()
+    night.world.commit()
+    night.world.cancel(job.ref)
+    night.holder.tick(night.world.now)
+    night.world.commit()
+    assert not [key for key in night.world.state.items if key.startswith("live/")]
+    assert not night.holder.planner.plans
+
+
+def test_the_state_service_is_down_at_the_latest_start() -> None:
+    """Holding back needs the state service for nothing: the job is let go, and starts once commits go through."""
+    night = Night(50.0, 50.0, 10.0)
+    job = night.submit(tideS=3600.0)
+    latest = night.holder.planner.plans[job.ref].need.latest if job.held else night.world.now
+    night.world.now = latest + SECOND
+    night.holder.tick(night.world.now)  # nothing is committed
+    assert job.held == 0
+    assert job in night.world.cluster.waiting
+
+
+def test_a_feed_that_goes_silent_makes_nobody_late() -> None:
+    night = Night(50.0, 45.0, 10.0, 9.0, 50.0, 50.0, 50.0, 50.0, 50.0, 50.0, 50.0, 50.0)
+    night.book.fresh_us, night.book.dead_us = 1800 * SECOND, HOUR
+    jobs = [night.submit(ref=f"j-{n:06d}", legs=1) for n in range(6)]
+    assert all(job.held for job in jobs)
+    night.go(1.5 * HOUR / SECOND, 60)  # dead before the cheap hours come: no reason to wait for them is left
+    night.go(1200, 60)
+    assert {night.world.record(job.ref) for job in jobs} == {"done"}
+
+
+def test_the_clock_of_the_day_jumps() -> None:
+    """Back by an hour: nothing is held for longer. Ahead: work goes early, which makes nobody late."""
+    clock = DayClock(wall=DAY, steady=1000)
+    assert clock.at(DAY + SECOND, 1000 + SECOND) == DAY + SECOND
+    assert clock.at(DAY - HOUR, 1000 + 2 * SECOND) == DAY + 2 * SECOND
+    assert clock.at(DAY + HOUR, 1000 + 3 * SECOND) == DAY + HOUR
+
+
+def test_five_thousand_jobs_due_in_the_same_window_are_spread() -> None:
+    night = Night(50.0, 10.0, 20.0, 20.0, 20.0, capacity=400.0)
+    for number in range(5_000):
+        night.submit(ref=f"j-{number:06d}", legs=1, cores=1.0, voyageS=300.0, tideS=4 * 3600.0)
+    taken: dict[int, int] = {}
+    for plan in night.holder.planner.plans.values():
+        for slot, count in plan.starts.items():
+            taken[slot] = taken.get(slot, 0) + count
+    assert max(taken.values()) <= 400
+    assert len(taken) >= 12
+
+
+def test_held_work_that_comes_due_counts_in_the_queue_estimate() -> None:
+    """Its release at dawn would meet a full house."""
+    night = Night(50.0, 10.0, 10.0)
+    job = night.submit(legs=4)
+    other = night.submit(ref="j-000002", cargo="other", legs=2, voyageS=100.0, tideS=600.0)
+    world = night.world
+
+    def wait() -> int:
+        pools = _pools_by_type(world.cluster, world.now)
+        return _work_ahead(world.cluster, pools, [other])[other][0]
+
+    before = wait()
+    world.now += HOUR - 60 * SECOND
+    night.holder.tick(world.now)
+    assert [(held.ref, count) for held, count in world.cluster.coming] == [(job.ref, 2)]
+    assert wait() > before + 100 * SECOND
+
+
+def test_records_of_a_held_job_are_bounded() -> None:
+    night = Night(*[50.0] * 3, *[10.0] * 3)
+    job = night.submit(tideS=8 * 3600.0)
+    for number in range(30):
+        prices = [50.0 - (n == 2 + number % 4) * 30 for n in range(8)]
+        night.book.learn(hours(*prices), night.world.now, night.world.now)
+        night.holder.tick(night.world.now)
+    assert job.hold is not None
+    assert 1 < job.hold.changes <= MOVES_MOST + 1
+
+
+def test_running_work_is_paused_only_if_it_saves_and_is_allowed_to() -> None:
+    for checkpoint, pause, stopped in ((0.0, True, False), (15.0, False, False), (15.0, True, True)):
+        night = Night(300.0, 10.0, 10.0, 10.0, pause=pause)
+        night.holder._deferral(night.world.cluster.jobs.get("x") or Job("x", _spec(), 1, 0))
+        job = night.submit(legs=1, voyageS=1200.0, mooringS=checkpoint, stowS=1.0, tideS=None)
+        night.go(20)
+        job.spec = _with_deadline(job)
+        night.holder._pause(night.world.now)
+        task = job.tasks[0]
+        assert (task.stopping is not None) is stopped
+        if stopped:
+            assert job.not_before > night.world.now + 1800 * SECOND
+            assert job.hold is not None and job.hold.paused_until > night.world.now
+
+
+def _spec() -> Any:
+    from oatport import wire
+    from tests.world import job
+    return wire.submission(job())
+
+
+def _with_deadline(job: Job) -> Any:
+    import msgspec
+    return msgspec.structs.replace(job.spec, deadline_s=4 * 3600.0)
+
+
+async def test_the_last_good_series_and_what_was_learnt_outlive_the_leader() -> None:
+    state = FakeState(lambda: 0)
+    lead, client, _ = leader(state)
+    settings = WindowSettings(on=True, capacity_cpus=8.0, classes=(("train", Deferral()),))
+    keeper = WindowKeeper(lead, None, settings)  # type: ignore[arg-type]
+    now = keeper.wall()
+    keeper.book.learn(hours(10.0, 20.0, start=now), now, now)
+    keeper.holder.margins.load({"train": [1.0] * 30})
+    await keeper.take_over()
+    keeper.step()
+    assert KEY in lead.cluster.dirty
+    await lead.commits.commit(lead.cluster.take_batch(12))
+    later, _, _ = leader(state)
+    later.state = client  # type: ignore[assignment]
+    heir = WindowKeeper(later, None, settings)  # type: ignore[arg-type]
+    await heir.take_over()
+    assert [row.price for row in heir.book.rows] == [10.0, 20.0]
+    assert heir.holder.margins.factor("train") < Margins().factor("train")
+
+
+def test_margins_start_careful_and_follow_what_was_seen() -> None:
+    margins = Margins()
+    assert margins.factor("x") == 3.0
+    for _ in range(40):
+        margins.finished("x", 100, 100)
+    assert margins.factor("x") == pytest.approx(1.2)
+    for _ in range(40):
+        margins.finished("x", 400, 100)
+    assert margins.factor("x") == pytest.approx(4.0)
+
+
+# --- settings, command line, experiment -----------------------------------------------------------
+
+
+@pytest.mark.parametrize(("text", "why"), [
+    ("[windows]\non = yes", "capacity_cpus"),
+    ("[windows]\non = maybe", "yes or no"),
+    ("[windows]\nfeed = ftp://x\nzone = z", "http address"),
+    ("[windows]\nfeed = http://x/", "zone"),
+    ("[windows]\nstep_s = nan", "step_s"),
+    ("[windows]\nsteps_s = 3", "did you mean step_s"),
+    ("[windows]\nfresh_s = 5\ndead_s = 4", "dead_s"),
+    ("[windows class ]\nprice = 1", "names no class"),
+    ("[windows priority urgent]\nprice = 1", "no such priority"),
+    ("[windows class x]\nprice = -1", "price"),
+])
+def test_bad_settings_name_the_field(text: str, why: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "own.ini"
+    path.write_text(text)
+    with pytest.raises(SettingsError, match=why):
+        load(path)
+    assert main(["--tuning", str(path), "check", "deploy/service.toml"]) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def test_the_sample_settings_are_good_and_without_them_windows_are_off() -> None:
+    sample = load("deploy/windows.ini")
+    assert sample.on
+    assert sample.deferral("rebalance", "normal") is not None
+    assert sample.deferral("other", "normal") is None
+    assert sample.deferral("other", "idle") is not None
+    assert load_tuning("deploy/windows.ini") == load_tuning(None)
+    assert not load(None).on
+
+
+@pytest.mark.parametrize("fault", ["none", "silent", "expensive-deadline", "lying", "burst"])
+def test_a_small_night_meets_as_many_deadlines_for_less(fault: str) -> None:
+    result = run(2, 60, fault)
+    assert result["deadlines_met"]["windows"] >= result["deadlines_met"]["immediate"]
+    assert result["cost"]["bound"] <= result["cost"]["windows"] + 1e-6
+    assert result["cost"]["windows"] <= result["cost"]["immediate"]
+    again = run(2, 60, fault)
+    assert {k: v for k, v in result.items() if not k.startswith("plan_ms")} \
+        == {k: v for k, v in again.items() if not k.startswith("plan_ms")}
+
+
+def test_the_experiments_page_and_its_one_line_errors(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    page = tmp_path / "night.html"
+    assert main(["lab", "windows", "--seed", "1", "--jobs", "20", "--json", "--html", str(page)]) == 0
+    assert page.read_text().count("<svg") == 2
+    assert main(["lab", "windows", "--jobs", "0"]) == 2
+    assert main(["lab", "windows", "--html", str(tmp_path / "no" / "such.html"), "--jobs", "5"]) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 2
