--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -13,6 +13,7 @@
 from oatport.control import faults
 from oatport.control.model import CHUNK_TASKS, Job, Kind, Machine, Phase, Task, split_task
 from oatport.control.records import DARK_KEY, chunk_key
+from oatport.control.repeats import REFUSED
 from oatport.control.work import Work
 from oatport.times import MS, SECOND, micros
 
@@ -231,7 +232,7 @@
             job.not_before = now + 2 * SECOND
         elif why == wire.WHY_BUSY:
             machine.blocked_until = now + SECOND
-        self.requeue(task, lost=not wanted and why in (wire.WHY_PEERS, wire.WHY_STOPPED))
+        self.requeue(task, lost=not wanted and why in (wire.WHY_PEERS, wire.WHY_STOPPED), unexecuted=why in REFUSED)
 
     def _on_absent(self, task: Task, machine: Machine, report: wire.Report, now: int) -> None:
         """A placed task that the newest report does not list: gone only if nothing can still bring it."""
@@ -246,7 +247,9 @@
                 self.to_send.add(machine)  # our start is on its way or was lost: repeat it
                 return
         log.info("task %s attempt %d is not on %s any more", task.name, task.attempt, machine.name)
-        self.requeue(task, lost=bool(task.sent_session))
+        # In the session in which it was claimed, and never seen by this leader: no start of it was executed.
+        unexecuted = task.acked is None and report.session == task.claim_session and not machine.unanswered.get(key)
+        self.requeue(task, lost=bool(task.sent_session), unexecuted=unexecuted)
 
     def _on_others(self, machine: Machine, rows: list[wire.TaskReport], now: int) -> None:
         """Tasks in the report that no record puts there."""
@@ -279,7 +282,10 @@
             self.to_send.add(machine)
 
     def _on_notice(self, machine: Machine, notice_s: float, now: int) -> None:
-        """The cloud takes it back soon: what can't finish in time leaves now, saving if it can."""
+        """The cloud takes it back soon: what can't finish in time leaves now, saving if it can.
+
+        What may not run again stays: it may just be done before.
+        """
         log.info("machine %s will be taken back in %.0f s", machine.name, notice_s)
         self.replan = True
         left = micros(notice_s)
@@ -288,7 +294,7 @@
 
     def drain_task(self, task: Task, left: int, now: int) -> None:
         job, spec = task.job, task.job.spec
-        if task.phase is not Phase.PLACED:
+        if task.phase is not Phase.PLACED or job.once:
             return
         if job.kind is not Kind.SERVICE:
             ran = now - task.running_since if task.running_since else 0
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -50,6 +50,8 @@
     stopping: float | None = None
     stop_sent: int = 0
     repeat_start_at: int = 0
+    claim_session: int = 0  # the worker's session when it was claimed (recorded for classes that limit repeats)
+    spent: bool = False  # it may not run again
 
     @property
     def name(self) -> str:
@@ -65,6 +67,7 @@
         self.stopping = None
         self.stop_sent = 0
         self.repeat_start_at = 0
+        self.claim_session = 0
 
 
 @dataclass(slots=True)
@@ -113,6 +116,8 @@
     suspect: bool = False  # it failed on several machines and was done on none: rather its mistake than theirs
     zones: dict[str, int] = field(default_factory=dict)  # tasks on machines, by zone
     finishing: bool = False  # its end is being committed
+    once: bool = False  # its class limits repeats: rows of its records tell more
+    lost_cause: str = ""  # a task of it may not run again: it ends as lost
     strays: int = 0  # attempts of it seen where no record puts them: nothing is placed meanwhile
     due: int = 0  # time of day of the deadline that it can still meet
     late: bool = False  # it meets none any more
@@ -159,7 +164,10 @@
         return task
 
     def chunk_value(self, chunk: int) -> dict[str, Any]:
-        """The record of one chunk of tasks: -1 done, 0 untouched, [attempt] pending, [attempt, machine]."""
+        """The record of one chunk of tasks: -1 done, 0 untouched, [attempt] pending, [attempt, machine].
+
+        Where the class limits repeats also [attempt, machine, session], and [attempt, None, 1]: spent.
+        """
         low = chunk * CHUNK_TASKS
         rows: list[Any] = []
         for index in range(low, min(low + CHUNK_TASKS, self.spec.tasks)):
@@ -170,7 +178,9 @@
             if task is None:
                 rows.append(0)
             elif task.machine is None:
-                rows.append([task.attempt])
+                rows.append([task.attempt, None, 1] if task.spent else [task.attempt])
+            elif self.once:
+                rows.append([task.attempt, task.machine.name, task.claim_session])
             else:
                 rows.append([task.attempt, task.machine.name])
         while rows and rows[-1] == 0:
@@ -190,7 +200,10 @@
 
     def record(self, state: str) -> dict[str, Any]:
         """The value of jobs/REF."""
-        return job_record(self.spec, self.submitted_at, state)
+        value = job_record(self.spec, self.submitted_at, state)
+        if state == wire.LOST:
+            value["cause"] = self.lost_cause
+        return value
 
 
 def job_record(spec: wire.Submission, submitted_at: int, state: str) -> dict[str, Any]:
--- a/oatport/control/preemption.py
+++ b/oatport/control/preemption.py
@@ -54,7 +54,7 @@
         gpus -= max(use.limits.gpus_max - use.gpus, 0.0) if use.limits.gpus_max > 0 else gpus
         lower = [
             task for other in self.cluster.jobs.values()
-            if other.spec.team == spec.team and other.rank > job.rank and other.kind is Kind.ARRAY
+            if other.spec.team == spec.team and other.rank > job.rank and other.kind is Kind.ARRAY and not other.once
             for task in other.tasks.values() if task.phase is Phase.PLACED
         ]
         # What is being stopped already frees some.
@@ -78,7 +78,7 @@
         teams = self.cluster.teams
         for task in machine.tasks:
             other = task.job
-            if task.phase is not Phase.PLACED or task.stopping is not None or other is job:
+            if task.phase is not Phase.PLACED or task.stopping is not None or other is job or other.once:
                 continue
             if other.rank > job.rank:
                 yield task
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -126,7 +126,7 @@
                 break
             del self.to_finish[job]
             batch.conditions[job_key(job.ref)] = job.version
-            batch.sets[job_key(job.ref)] = job.record(wire.DONE)
+            batch.sets[job_key(job.ref)] = job.record(wire.LOST if job.lost_cause else wire.DONE)
             self._add_drops(batch, keys, max_ops)
             batch.finished.append(job)
         self._add_urgent(batch, max_ops, IDLE_RANK)
@@ -188,7 +188,7 @@
         else:
             ref, number = chunk_of(key)
             job = self.jobs.get(ref)
-            if job is None or job.cancelled or job.finishing:
+            if job is None or (job.cancelled and not job.lost_cause) or job.finishing:
                 return  # its keys go with the job
             batch.sets[key] = job.chunk_value(number) if number else job.live_value()
             batch.conditions[job_key(ref)] = job.version
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -83,13 +83,16 @@
             continue
         for number, value in parts:
             _load_chunk(cluster, job, number, value)
-        job.again = deque(sorted(i for i, t in job.tasks.items() if t.phase is Phase.PENDING))
+        job.again = deque(sorted(i for i, t in job.tasks.items() if t.phase is Phase.PENDING and not t.spent))
     for ref, version in cancelled.items():
         if ref in cluster.jobs:
             cluster.cancel_job(ref, version)
         else:
             cluster.orphans.append(cancel_key(ref))
     for job in cluster.jobs.values():
+        spent = next((task for task in job.tasks.values() if task.spent), None) if job.once else None
+        if spent is not None and not job.cancelled:
+            cluster.lose(spent, "a task was lost with its machine or with an earlier leader, and may not run again")
         if not job.pending:
             cluster.waiting.discard(job)
         if len(job.done) >= job.spec.tasks and not job.cancelled:
@@ -121,11 +124,14 @@
         elif row:
             task.attempt = int(row[0])
             job.gang_attempt = max(job.gang_attempt, task.attempt)
-            if len(row) > 1:
+            if len(row) > 2:
+                task.claim_session, task.spent = int(row[2]), row[1] is None
+            if len(row) > 1 and row[1] is not None:
                 machine = cluster.machines.get(row[1])
                 if machine is None:
                     # The fleet record is written no later than the first claim on a machine and kept
                     # until the machine is proven gone: so the task's machine is.
+                    task.spent = job.once  # and may have begun there
                     cluster.touch(task)
                     continue
                 task.phase = Phase.PLACED
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,10 +13,13 @@
 from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
 from oatport.control.predictor import Predictor
 from oatport.control.records import DARK_KEY, Records, cancel_key, live_key
+from oatport.control.repeats import Repeat, Repeats, may_repeat
 from oatport.control.router import SPOT, Router
 from oatport.settings import ClusterSettings, Team, Tuning
 from oatport.times import SECOND, micros
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class TeamUse:
@@ -82,6 +86,7 @@
         self.back: set[str] = set()  # zones that are heard from again: their machines are to be asked at once
         self.singles[DARK_KEY] = self.dark_value
         self.coming: list[tuple[Job, int]] = []  # held work that is let go soon, and how many tasks: it counts as ahead
+        self.repeats: Repeats = {}
         self.on_measured: Callable[[Job, int], None] = lambda job, took: None  # a task's run time was seen
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
 
@@ -95,6 +100,7 @@
         job = self.jobs.get(ref)
         if job is None:
             job = self.jobs[ref] = Job(ref, spec, version, submitted_at)
+            job.once = self.repeats.get(spec.job_class, Repeat.ANY) is not Repeat.ANY and job.kind is not Kind.SERVICE
             self.versions[live_key(ref)] = version
             self.waiting.add(job)
             self.replan = True
@@ -110,12 +116,20 @@
             return
         if mark_version:
             self.versions[cancel_key(ref)] = mark_version
+        if job.lost_cause:  # its user was faster than the record of that
+            job.lost_cause, job.finishing = "", False
+            self.to_finish.pop(job, None)
+            self._clean_if_gone(job)
         if job.cancelled:
             return
         job.cancelled = True
         job.cancel_after = told_after
         self.waiting.discard(job)
         self.to_finish.pop(job, None)
+        self._call_off(job)
+
+    def _call_off(self, job: Job) -> None:
+        """No task of it starts any more, and those on machines leave."""
         for task in list(job.tasks.values()):
             if task.phase is Phase.CLAIMED:
                 self.unassign(task)
@@ -153,7 +167,12 @@
         self.replan = True
 
     def _clean_if_gone(self, job: Job) -> None:
-        if job.cancelled and job.on_machines == 0 and job.strays == 0:
+        if not job.cancelled or job.on_machines or job.strays:
+            return
+        if job.lost_cause:
+            job.finishing = True
+            self.to_finish[job] = None
+        else:
             self.to_clean[job] = None
 
     def drop_job(self, job: Job) -> None:
@@ -207,9 +226,16 @@
         task.to_pending()
         self.replan = True
 
-    def requeue(self, task: Task, *, lost: bool) -> None:
-        """A task that left its machine without being done wants another."""
+    def requeue(self, task: Task, *, lost: bool, unexecuted: bool = False) -> None:
+        """A task that left its machine without being done wants another, if its class allows that.
+
+        `unexecuted`: it is proven that the attempt never began.
+        """
         job = task.job
+        repeat = self.repeats.get(job.spec.job_class, Repeat.ANY)
+        if not job.cancelled and not may_repeat(repeat, task, unexecuted):
+            self.lose(task, "a task may have begun and may not run again")
+            return
         if task.machine is not None:
             self.unassign(task)
         job.again.append(task.index)
@@ -223,6 +249,24 @@
         if job.kind is Kind.GANG:
             self._gang_lost_task(job)
 
+    def lose(self, task: Task, cause: str) -> None:
+        """A task may not run again, so the job ends as lost: the rest of it is stopped, then that is recorded.
+
+        The task's own row says so from its next record on, whatever leader reads it.
+        """
+        job = task.job
+        if task.machine is not None:
+            self.unassign(task)
+        task.spent = True
+        self.touch(task, urgent=True)
+        if job.cancelled or job.finishing:
+            self._clean_if_gone(job)
+            return
+        log.info("job %s is lost: task %d: %s", job.ref, task.index, cause)
+        job.lost_cause, job.cancelled = cause, True
+        self.waiting.discard(job)
+        self._call_off(job)
+
     def _gang_lost_task(self, job: Job) -> None:
         """A gang runs whole or not: what is left of this attempt is called off.
 
@@ -240,6 +284,7 @@
         task.attempt = attempt if attempt is not None else task.attempt + 1
         task.phase = Phase.CLAIMED
         task.claimed_at = now
+        task.claim_session = machine.session
         job.hungry_since = 0
         self.assign(task, machine)
         machine.images.setdefault(job.spec.image, now)
--- a/oatport/service/groupcommit.py
+++ b/oatport/service/groupcommit.py
@@ -150,6 +150,6 @@
             state = None if found is None else found[0].get("state")
             if found is not None and state == wire.CANCELLED:
                 self.cluster.cancel_job(ref, found[1])
-            elif found is not None and state == wire.DONE:
+            elif found is not None and state in wire.OVER:
                 self.cluster.drop_job(job)
             return
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -24,6 +24,7 @@
 from oatport.control.predictor import Predictor
 from oatport.control.records import JOBS, MODEL_KEY
 from oatport.control.recovery import OutageClock, load, read_job
+from oatport.control.repeats import Repeats
 from oatport.service.fleetkeeper import FleetKeeper
 from oatport.service.groupcommit import GroupCommit
 from oatport.service.helm import Home
@@ -46,6 +47,7 @@
     def __init__(
         self, home: Home, settings: Settings, tuning: Tuning, session: aiohttp.ClientSession,
         state: StateClient, token: int, lease: int, held_at: int, windows: WindowSettings | None = None,
+        repeats: Repeats | None = None,
     ) -> None:
         self.home = home
         self.settings = settings
@@ -56,6 +58,7 @@
         self._session = session
         limits = settings.cluster
         self.cluster = Cluster(token, limits, tuning, dict(home.types), Predictor())
+        self.cluster.repeats = repeats or {}
         self.placer = Placer(self.cluster)
         self.began = steady()
         self.clock = OutageClock(limits, self.began)
@@ -185,15 +188,13 @@
                 self.depose("the watch on jobs fell behind")
                 return
             revision, news = found
-            for item in news:
-                key = item.get("set")
-                if key is None:
-                    continue
+            # Of each job only the last: one that came and ended meanwhile is not taken up again.
+            for key, item in {item["set"]: item for item in news if "set" in item}.items():
                 ref = key[len(JOBS):]
                 spec, at, state = read_job(item["value"])
                 if state == wire.CANCELLED:
                     self.cluster.cancel_job(ref, int(item["entryRev"]), self.clock.known_at)
-                elif state not in wire.FINAL and ref not in self.cluster.jobs:
+                elif state not in wire.OVER and ref not in self.cluster.jobs:
                     self._join(ref, spec, int(item["entryRev"]), at)
             self._watch_from = max(self._watch_from, revision)
             self.clock.known(asked)
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -17,6 +17,7 @@
 from oatport.clients.state import Applied, NoLease, StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
+from oatport.control.repeats import Repeats
 from oatport.control.steward import Steward
 from oatport.service.lead import Lead
 from oatport.service.tasks import TaskGroup
@@ -39,9 +40,11 @@
 
 
 class Node:
-    def __init__(self, settings: Settings, tuning: Tuning, windows: WindowSettings | None = None) -> None:
+    def __init__(
+        self, settings: Settings, tuning: Tuning, windows: WindowSettings | None = None, repeats: Repeats | None = None
+    ) -> None:
         self.settings = settings
-        self.windows = windows
+        self.windows, self.repeats = windows, repeats
         self.tuning = tuning
         self.node_name = settings.node_name
         self.boot = secrets.token_hex(6)  # tells this process from an earlier one of the same name
@@ -104,9 +107,8 @@
             await self._session.close()
 
     async def _handle(self, method: str, path: str, body: BodyReader) -> Answer:
-        if path == wire.REPORT:
-            return await handle_report(self, method, body)
-        return await self.users.handle(method, path, body)
+        report = path == wire.REPORT
+        return await (handle_report(self, method, body) if report else self.users.handle(method, path, body))
 
     # --- reports ----------------------------------------------------------------------------
 
@@ -462,7 +464,8 @@
         self._take_from = 0
         self._leader, self._leader_token = self.node_name, token
         self._next_heard = steady()
-        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at, self.windows)
+        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at, self.windows,
+                    self.repeats)
         self.lead = lead
         try:
             await lead.take_over()
--- a/oatport/settings.py
+++ b/oatport/settings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import configparser
+import difflib
 import math
 import tomllib
+from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
@@ -95,7 +97,7 @@
     peers: list[Peer] = []
 
 
-ELSEWHERE = ("windows",)  # sections of the same file that are checked by the package they are for
+ELSEWHERE = ("windows", "repeat")  # sections of the same file that are checked by the package they are for
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,17 +185,42 @@
         raise SettingsError(f"{path}: {error}") from None
 
 
-def load_tuning(path: str | Path | None) -> Tuning:
-    """Read the operators' INI file; without one the documented defaults hold."""
-    if path is None:
-        return Tuning()
+def read_ini(path: str | Path, *, keep_case: bool = False) -> configparser.ConfigParser:
+    """An INI file of the operators' own. Raises SettingsError."""
     parser = configparser.ConfigParser(interpolation=None)
+    if keep_case:
+        parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
         parser.read_string(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
     except (configparser.Error, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: not INI: {str(error).splitlines()[0]}") from None
+    return parser
+
+
+def ini_number(text: str, where: str, low: float, high: float) -> float:
+    """Raises SettingsError; `where` names the file, section and setting."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise SettingsError(f"{where}: not a number: {text!r}") from None
+    if not low <= value <= high:  # NaN neither
+        raise SettingsError(f"{where}: must be {low:g} to {high:g}, got {text}")
+    return value
+
+
+def ini_unknown(name: str, known: Iterable[str], where: str) -> SettingsError:
+    """No such setting; with the one that was probably meant."""
+    near = difflib.get_close_matches(name, list(known), 1)
+    return SettingsError(f"{where} {name}: no such setting" + (f", did you mean {near[0]}?" if near else ""))
+
+
+def load_tuning(path: str | Path | None) -> Tuning:
+    """Read the operators' INI file; without one the documented defaults hold."""
+    if path is None:
+        return Tuning()
+    parser = read_ini(path)
     known = {(f.metadata["section"], f.name): f for f in fields(Tuning)}
     values: dict[str, float] = {}
     for section in parser.sections():
@@ -202,13 +229,7 @@
         for name, text in parser.items(section):
             spec = known.get((section, name))
             if spec is None:
-                raise SettingsError(f"{path}: [{section}] {name}: no such setting")
-            try:
-                value = float(text)
-            except ValueError:
-                raise SettingsError(f"{path}: [{section}] {name}: not a number: {text!r}") from None
+                raise ini_unknown(name, (key for at, key in known if at == section), f"{path}: [{section}]")
             low, high = spec.metadata["min"], spec.metadata["max"]
-            if not low <= value <= high:
-                raise SettingsError(f"{path}: [{section}] {name}: must be {low} to {high}, got {text}")
-            values[name] = value
+            values[name] = ini_number(text, f"{path}: [{section}] {name}", low, high)
     return Tuning(**values)
--- a/oatport/windows/holding.py
+++ b/oatport/windows/holding.py
@@ -19,6 +19,7 @@
 from oatport.windows.settings import Deferral, WindowSettings
 
 IMPROVED_AT_ONCE = 150  # plans made anew in one step
+REKEYED_AT_ONCE = 100
 MOVES_MOST = 6  # times that a job's record is written for a plan that was made anew
 PAUSES_MOST = 2
 RATE_OVER = 3600 * SECOND
@@ -77,6 +78,7 @@
         self._predicted: dict[str, int] = {}  # job -> run time as predicted when it was let go
         self._checked_slot = self._advanced_slot = 0
         self.arrivals = Arrivals()
+        self._rekeyed: dict[str, None] = {}
         self.held_classes: dict[str, None] = {}
         self.anew = 0  # plans made anew: for the status, and for tests
         self.late = 0  # jobs let go after their latest safe start
@@ -193,29 +195,21 @@
             self._rekey(job.spec.job_class)
 
     def _rekey(self, job_class: str) -> None:
-        """Predictions of a class turned out otherwise: its latest safe starts are others now."""
-        for ref, plan in list(self.planner.plans.items()):
+        """Predictions of a class turned out otherwise: its latest safe starts are others now.
+
+        Taken up a few hundred at a time, those whose bound comes first.
+        """
+        plans = self.planner.plans
+        of_class = [ref for ref in plans if self.cluster.jobs[ref].spec.job_class == job_class]
+        self._rekeyed.update(dict.fromkeys(sorted(of_class, key=lambda ref: (plans[ref].need.latest, ref))))
+
+    def _rebound(self) -> None:
+        for ref in list(self._rekeyed)[:REKEYED_AT_ONCE]:
+            del self._rekeyed[ref]
             job = self.cluster.jobs.get(ref)
-            if job is not None and job.spec.job_class == job_class:
-                deferral = self._deferral(job)
-                if deferral is None:
-                    continue
-                need = self._need(job, deferral, max(job.held, 1))
-                if need.latest < plan.need.latest:
-                    self._again(job, need)
-                else:
-                    plan.need = need
-
-    def _again(self, job: Job, need: Need) -> None:
-        """Plan a held job anew and write that down; past its bound of changes only to let it go earlier."""
-        hold = job.hold
-        if hold is None:
-            return
-        old = self.planner.plans.get(need.ref)
-        plan = self.planner.add(need)
-        self.anew += 1
-        if old is None or plan.starts != old.starts:
-            self._write(job, plan, max(job.opened, job.fresh))
+            deferral = self._deferral(job) if job is not None else None
+            if job is not None and deferral is not None and ref in self.planner.plans:
+                self.planner.bound(ref, self._need(job, deferral, max(job.held, 1)))
 
     # --- the time goes on ------------------------------------------------------------------------
 
@@ -223,8 +217,9 @@
         """Let go what is due, and plan anew what a change concerns; how many tasks were let go."""
         planner = self.planner
         for ref in [ref for ref in planner.plans if self._over(ref)]:
-            planner.remove(ref)
+            planner.remove(ref)  # cancelled meanwhile
         planner.at(wall)
+        self._rebound()
         if planner.now // planner.step != self._advanced_slot:
             self._advanced_slot = planner.now // planner.step
             for sort in {plan.need.sort for plan in planner.plans.values()}:
@@ -273,11 +268,10 @@
 
     def _coming(self, wall: int) -> None:
         """What is let go within a moment counts in the queue estimate already."""
-        until = (wall + micros(self.settings.ahead_s)) // self.planner.step
         self.cluster.coming = [
             (job, self._tasks(job, count))
-            for ref, plan in self.planner.plans.items() if (job := self.cluster.jobs.get(ref)) is not None
-            for slot, count in plan.starts.items() if slot <= until
+            for ref, count in self.planner.soon(wall + micros(self.settings.ahead_s))
+            if (job := self.cluster.jobs.get(ref)) is not None
         ]
 
     def _pause(self, wall: int) -> None:
--- a/oatport/windows/planner.py
+++ b/oatport/windows/planner.py
@@ -13,10 +13,12 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 VICTIMS_MOST = 16  # jobs looked at for room that one without any takes
+ADVANCED_MOST = 500  # jobs that start earlier than planned in one slot
 SAVES_LEAST = 0.01  # holding work for less than this share of its cost is not worth the risk
 DEMANDS = (0.5, 1.0, 1.5, 2.0, 3.0)  # of what is expected to come; too little costs more than too much
 EPSILON = 1e-9
@@ -147,6 +149,18 @@
         """What would be planned for a job; nothing is kept."""
         return self._place(need)
 
+    def bound(self, ref: str, need: Need) -> None:
+        """The job's latest start or run time is another now. Its plan is marked if it goes past that.
+
+        The bound holds from here on: what is not planned anew by then starts at it.
+        """
+        plan = self.plans[ref]
+        self._take_out(plan)
+        plan.need = need
+        self._put(plan)
+        if max(plan.starts, default=0) > max(self._last(need), self._first):
+            self._dirty[ref] = None
+
     def restore(self, need: Need, starts: dict[int, int], why: str) -> Plan:
         """A plan that an earlier leader recorded: as it was, not as it would be made now."""
         self.remove(need.ref)
@@ -213,8 +227,9 @@
             self._take_out(old)
             new = self._place(old.need)
             now_cost = sum(n * self._cost(old.need, slot) for slot, n in old.starts.items())
+            overdue = max(old.starts) > max(self._last(old.need), self._first)
             saves = now_cost - new.cost > SAVES_LEAST * abs(now_cost) + EPSILON
-            if new.starts != old.starts and (saves or new.crowded < old.crowded):
+            if new.starts != old.starts and (saves or overdue or new.crowded < old.crowded):
                 new.moves = old.moves + 1
                 changed.append(ref)
             else:
@@ -230,16 +245,19 @@
         three times the `expected` CPU-us. Where the next hours are much dearer, the chance of them counts.
         Counted are the hours in which half of the held work may still start.
         """
-        held = [(self._last(p.need), p.need.run * p.need.cpus * p.need.tasks) for p in self.plans.values()]
-        if not held:
+        if not self.plans:
             return -float("inf")
-        demand = sum(work for _, work in held)
+        by_last: Counter[int] = Counter()
+        for plan in self.plans.values():
+            need = plan.need
+            by_last[self._last(need)] += need.run * need.cpus * need.tasks  # type: ignore[assignment]
+        demand = sum(by_last.values())
         half, until = demand / 2, self._first
-        for last, work in sorted(held):
-            until, half = last, half - work
+        for last in sorted(by_last):
+            until, half = last, half - by_last[last]
             if half <= 0:
                 break
-        self.work += len(held)
+        self.work += len(self.plans)
         unit = sorted(self._unit.get(sort, [1.0] * self.slots)[: max(until - self._first + 1, 1)])
         room = self.capacity * self.step
         levels = [
@@ -257,7 +275,7 @@
         if unit is None or not self.plans or unit[0] > self.level(sort, expected) + EPSILON:
             return []
         changed = []
-        for ref in heapq.nsmallest(len(self.plans), self.plans, key=lambda ref: (self.plans[ref].need.latest, ref)):
+        for ref in heapq.nsmallest(ADVANCED_MOST, self.plans, key=lambda ref: (self.plans[ref].need.latest, ref)):
             if self._free[0] < EPSILON:
                 break
             plan = self.plans[ref]
@@ -283,6 +301,13 @@
             self._put(plan)
         return changed
 
+    def soon(self, until: int) -> list[tuple[str, int]]:
+        """Jobs with tasks that start up to a moment, and how many."""
+        return [
+            (ref, count) for number in sorted(n for n in self._in_slot if n <= until // self.step)
+            for ref, count in self._in_slot[number].items()
+        ]
+
     @property
     def marked(self) -> int:
         return len(self._dirty)
@@ -326,17 +351,7 @@
         if last < self._first:
             plan.starts, plan.cost, plan.why = {self._first: left}, plan.at_once, "the latest safe start is now"
             return plan
-        for slot in self._cheapest(need):
-            if left <= 0:
-                break
-            self.work += 1
-            if slot > last:
-                continue
-            count = min(left, self._holds(need, slot))
-            if count > 0:
-                plan.starts[slot] = count
-                plan.cost += count * self._cost(need, slot)
-                left -= count
+        left = self._fill(plan, left, self._first, last)
         if left > 0:
             plan.starts[self._first] = plan.starts.get(self._first, 0) + left
             plan.cost += left * self._cost(need, self._first)
@@ -350,6 +365,22 @@
             plan.why = "some of it has no room in time" if plan.crowded else "cheaper hours"
         return plan
 
+    def _fill(self, plan: Plan, left: int, first: int, last: int) -> int:
+        """Put tasks into the cheapest slots with room of a range; how many found none."""
+        need = plan.need
+        for slot in self._cheapest(need):
+            if left <= 0:
+                break
+            self.work += 1
+            if not first <= slot <= last:
+                continue
+            count = min(left, self._holds(need, slot))
+            if count > 0:
+                plan.starts[slot] = count
+                plan.cost += count * self._cost(need, slot)
+                left -= count
+        return left
+
     def _soon(self, plan: Plan) -> bool:
         """It saves next to nothing: worth waiting for only if there is no room now."""
         return self._holds(plan.need, self._first) >= plan.need.tasks
@@ -431,16 +462,6 @@
         """The same job without any start up to a slot; None if it has no room there."""
         need = old.need
         plan = Plan(need, at_once=old.at_once, why="made room for a job with an earlier deadline", moves=old.moves + 1)
-        left, last = need.tasks, self._last(need)
-        for slot in self._cheapest(need):
-            self.work += 1
-            if not after < slot <= last:
-                continue
-            count = min(left, self._holds(need, slot))
-            if count > 0:
-                plan.starts[slot] = count
-                plan.cost += count * self._cost(need, slot)
-                left -= count
-            if left <= 0:
-                return plan if plan.cost <= plan.at_once + EPSILON else None
-        return None
+        if self._fill(plan, need.tasks, after + 1, self._last(need)) or plan.cost > plan.at_once + EPSILON:
+            return None
+        return plan
--- a/oatport/windows/prices.py
+++ b/oatport/windows/prices.py
@@ -73,6 +73,9 @@
     read_at: int = 0  # when a good series was last read; 0: never
     version: int = 0
     problem: str = ""  # why the last one was refused
+    # The middle price and carbon, what costs are multiples of. Kept until it moves by more than a fifth: scaled anew
+    # with each hour that goes by, every hour's cost would change, and all held work be planned anew.
+    _middles: tuple[float, float] = (0.0, 0.0)
 
     def __post_init__(self) -> None:
         if not 0 <= self.fresh_us < self.dead_us:
@@ -92,8 +95,15 @@
         changed = [_terms(r) for r in rows if r.end > now] != [_terms(r) for r in self.rows if r.end > now]
         self.rows, self.read_at, self.problem = rows[-2 * INTERVALS_MOST:], now, ""
         self.version += changed
+        self._rescale()
         return changed
 
+    def _rescale(self) -> None:
+        now = (_middle([row.price for row in self.rows]),
+               _middle([row.co2 for row in self.rows if row.co2 is not None]))
+        if any(abs(new - old) > 0.2 * abs(old) for new, old in zip(now, self._middles, strict=True)):
+            self._middles = now
+
     def weight(self, row: Interval, now: int) -> float:
         """How far an interval counts: 1 fresh, then less by its age, 0 dead."""
         age = now - row.read_at
@@ -118,16 +128,10 @@
         rows = [row for row in self.rows if row.end > first * step and row.start < (first + count) * step]
         if not rows or total <= 0:
             return plain
-        price_of = _scaled([row.price for row in rows])
-        carbons = [row.co2 for row in rows if row.co2 is not None]
-        carbon_of = _scaled(carbons)
         values: list[float] = []
-        carbon_at = 0
-        for row, price in zip(rows, price_of, strict=True):
-            carbon = 1.0
-            if row.co2 is not None:
-                carbon = carbon_of[carbon_at]
-                carbon_at += 1
+        for row in rows:
+            price = _scaled(row.price, self._middles[0])
+            carbon = 1.0 if row.co2 is None else _scaled(row.co2, self._middles[1])
             value = (price_weight * price + carbon_weight * carbon) / total
             values.append(1.0 + self.weight(row, now) * (value - 1.0))
         starts = [row.start for row in rows]
@@ -159,6 +163,7 @@
             self.rows = check(rows, 0, now) if rows else []
             self.read_at = min(int(value["read"]), now)
             self.version += 1
+            self._rescale()
         except (BadSeries, KeyError, TypeError, ValueError):
             self.rows, self.read_at = [], 0
 
@@ -178,12 +183,12 @@
     return [Interval(low, high, old.price, old.co2, old.read_at) for low, high in left]
 
 
-def _scaled(values: list[float]) -> list[float]:
-    """In multiples of the middle of their sizes, outliers cut; all 1 where that is nothing."""
-    if not values:
-        return []
-    middle = sorted(abs(value) for value in values)[len(values) // 2]
+def _middle(values: list[float]) -> float:
+    return sorted(abs(value) for value in values)[len(values) // 2] if values else 0.0
+
+
+def _scaled(value: float, middle: float) -> float:
+    """In multiples of the middle, outliers cut. Where most hours are free, one that is not is as dear as can be."""
     if middle <= 0:
-        low, high = min(values), max(values)
-        return [1.0] * len(values) if low == high else [(v - low) / (high - low) * 2 for v in values]
-    return [max(-OUTLIER, min(value / middle, OUTLIER)) for value in values]
+        return 1.0 if value == 0 else max(-OUTLIER, min(1.0 + value, OUTLIER))
+    return max(-OUTLIER, min(value / middle, OUTLIER))
--- a/oatport/windows/settings.py
+++ b/oatport/windows/settings.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import configparser
-import difflib
-import math
 from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlsplit
 
-from oatport.settings import SettingsError
+from oatport.settings import SettingsError, ini_number, ini_unknown, read_ini
 
 MAIN = "windows"
 BY_CLASS = "windows class "
@@ -99,14 +97,7 @@
     """From the tuning file; without one, or without the section, they are off."""
     if path is None:
         return WindowSettings()
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from None
-    except (configparser.Error, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: not INI: {str(error).splitlines()[0]}") from None
-    return read(parser, path)
+    return read(read_ini(path), path)
 
 
 def _values(kind: type, texts: dict[str, str], where: str) -> dict[str, Any]:
@@ -114,8 +105,7 @@
     values: dict[str, Any] = {}
     for name, text in texts.items():
         if name not in known:
-            near = difflib.get_close_matches(name, known, 1)
-            raise SettingsError(f"{where} {name}: no such setting" + (f", did you mean {near[0]}?" if near else ""))
+            raise ini_unknown(name, known, where)
         default = known[name].default
         if isinstance(default, bool):
             flag = configparser.ConfigParser.BOOLEAN_STATES.get(text.lower())
@@ -123,14 +113,7 @@
                 raise SettingsError(f"{where} {name}: expected yes or no, got {text!r}")
             values[name] = flag
         elif isinstance(default, float):
-            low, high = known[name].metadata["range"]
-            try:
-                value = float(text)
-            except ValueError:
-                raise SettingsError(f"{where} {name}: not a number: {text!r}") from None
-            if not math.isfinite(value) or not low <= value <= high:
-                raise SettingsError(f"{where} {name}: must be {low:g} to {high:g}, got {text}")
-            values[name] = value
+            values[name] = ini_number(text, f"{where} {name}", *known[name].metadata["range"])
         else:
             values[name] = text
     return values
--- a/oatport/wire.py
+++ b/oatport/wire.py
@@ -190,6 +190,10 @@
 
 QUEUED, RUNNING_JOB, DONE, CANCELLED = "queued", "running", "done", "aborted"
 FINAL = frozenset((DONE, CANCELLED))
+# In records only: the job ended, since a task of it may not run again. PROTOCOL has no word for that, so users who
+# poll are told `queued`, which is true: none of its tasks runs, and it is neither done nor cancelled.
+LOST = "lost"
+OVER = FINAL | {LOST}
 
 
 class MachineType(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,263 @@
+"""Jobs whose class limits repeats: each way an attempt ends, and what users and later leaders are told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.api.users import Users
+from oatport.control.recovery import read_job
+from oatport.control.repeats import Repeat, load
+from oatport.settings import SettingsError
+from oatport.times import SECOND
+from standins.worker import FakeTask, FakeWorker
+from tests.test_service import leader
+from tests.world import FakeStateClient, World, node_settings
+
+MODES = (Repeat.ANY, Repeat.BEFORE_START, Repeat.NEVER)
+
+
+def world_with(repeat: Repeat, **changes: Any) -> tuple[World, str, FakeWorker]:
+    """A job of one task; its claim is committed, nothing was sent yet."""
+    world = World()
+    world.repeats["train"] = repeat
+    world.cluster.repeats = world.repeats
+    worker = world.machine(1)
+    world.settle(2)
+    ref = world.submit(**{"legs": 1, "voyageS": 100.0, **changes})
+    world.plan()
+    world.commit()
+    return world, ref, worker
+
+
+def running(repeat: Repeat, **changes: Any) -> tuple[World, str, FakeWorker]:
+    world, ref, worker = world_with(repeat, **changes)
+    world.send()
+    world.step(1.0)
+    assert world.live(ref)
+    return world, ref, worker
+
+
+def state_after(world: World, ref: str) -> tuple[str, int]:
+    """The job's record, and how often a task of it was started anywhere, once another machine is there."""
+    other = world.machine(7)
+    for _ in range(8):
+        world.step(1.0)
+    starts = [key for worker in [*world.workers.values(), *GONE] for key in worker.starts if key[0].startswith(ref)]
+    assert other
+    return world.record(ref), len(starts)
+
+
+GONE: list[FakeWorker] = []
+
+
+@pytest.fixture(autouse=True)
+def nothing_gone() -> None:
+    GONE.clear()
+
+
+def release(world: World, worker: FakeWorker) -> None:
+    GONE.append(worker)
+    world.refused.discard(worker.name)
+    world.released(worker.name)
+
+
+def taken_back(world: World, worker: FakeWorker) -> None:
+    release(world, worker)
+
+
+def silent_and_released(world: World, worker: FakeWorker) -> None:
+    world.refused.add(worker.name)
+    world.step(6.0)
+    release(world, worker)
+
+
+def lease_ended(world: World, worker: FakeWorker) -> None:
+    world.refused.add(worker.name)
+    world.now += 12 * SECOND
+    world.refused.clear()
+    world.step(0.5)
+
+
+def failed(world: World, worker: FakeWorker) -> None:
+    for task in worker.tasks.values():
+        task.status, task.why = "ended", wire.WHY_ERROR
+    world.step(0.5)
+
+
+@pytest.mark.parametrize("ends", [taken_back, silent_and_released, lease_ended, failed])
+@pytest.mark.parametrize("repeat", MODES)
+def test_what_may_have_begun_runs_again_only_if_its_class_allows(
+    repeat: Repeat, ends: Callable[[World, FakeWorker], None]
+) -> None:
+    world, ref, worker = running(repeat)
+    ends(world, worker)
+    state, starts = state_after(world, ref)
+    if repeat is Repeat.ANY:
+        assert starts == 2
+    else:
+        assert (state, starts) == (wire.LOST, 1)
+        assert not [key for key in world.state.items if key.startswith("live/")]
+
+
+@pytest.mark.parametrize("why", ["full", "in_use", "unknown"])
+@pytest.mark.parametrize("repeat", MODES)
+def test_a_refused_start_never_began(repeat: Repeat, why: str) -> None:
+    world, ref, worker = world_with(repeat)
+    task = next(iter(world.cluster.jobs[ref].tasks.values()))
+    worker.tasks[(task.name, task.attempt)] = FakeTask("ended", why)
+    world.send()
+    world.step(0.5)
+    state, starts = state_after(world, ref)
+    assert (state, starts) == ((wire.LOST, 0) if repeat is Repeat.NEVER else ("queued", 1))
+
+
+@pytest.mark.parametrize("repeat", MODES)
+def test_an_unanswered_start_may_have_begun(repeat: Repeat) -> None:
+    world, ref, worker = world_with(repeat)
+    world.refused.add(worker.name)
+    world.send()  # lost on its way, or not: who knows
+    release(world, worker)
+    state, starts = state_after(world, ref)
+    assert (state, starts) == (("queued", 1) if repeat is Repeat.ANY else (wire.LOST, 0))
+
+
+@pytest.mark.parametrize("repeat", MODES)
+def test_a_claim_that_was_never_sent_is_no_attempt(repeat: Repeat) -> None:
+    world, ref, worker = world_with(repeat)
+    release(world, worker)
+    state, starts = state_after(world, ref)
+    assert (state, starts) == ("queued", 1)
+
+
+@pytest.mark.parametrize("repeat", MODES)
+def test_a_node_killed_between_commit_and_send(repeat: Repeat) -> None:
+    """In the session of the claim, the worker does not list it: so it never began."""
+    world, ref, _ = world_with(repeat)
+    world.take_over()
+    state, starts = state_after(world, ref)
+    assert (state, starts) == ((wire.LOST, 0) if repeat is Repeat.NEVER else ("queued", 1))
+
+
+@pytest.mark.parametrize("repeat", MODES)
+def test_a_node_killed_between_commit_and_send_and_the_lease_ended_too(repeat: Repeat) -> None:
+    world, ref, worker = world_with(repeat)
+    world.now += 12 * SECOND
+    worker.advance()
+    world.take_over()
+    state, starts = state_after(world, ref)
+    assert (state, starts) == (("queued", 1) if repeat is Repeat.ANY else (wire.LOST, 0))
+
+
+def test_the_decision_outlives_a_takeover_at_any_moment() -> None:
+    """A row of a task that may not run again once looked like one that waits for its next attempt."""
+    for committed in (False, True):
+        GONE.clear()
+        world, ref, worker = running(Repeat.BEFORE_START, legs=2)
+        GONE.append(worker)
+        world.machine(2)
+        world.released(worker.name)
+        assert world.cluster.jobs[ref].lost_cause
+        if committed:
+            batch = world.cluster.take_batch(12)
+            status, value = world.state.commit(world.transaction(batch))
+            assert status == 200
+            world.cluster.committed(batch, value["ledgerRev"], world.now)
+        world.take_over()
+        if not committed:  # the new leader finds the machine silent, and releases it once more
+            world.cluster.machine_gone(world.cluster.machines[worker.name], world.now, "silent")
+        state, starts = state_after(world, ref)
+        assert (state, starts) == (wire.LOST, 2)
+
+
+def test_the_rest_of_a_lost_job_is_stopped_before_that_is_told() -> None:
+    world, ref, worker = running(Repeat.BEFORE_START, legs=4)
+    other = world.machine(2)
+    world.settle(2)
+    assert [key for key in other.starts if key[0].startswith(ref)]
+    GONE.append(worker)
+    world.released(worker.name)
+    world.commit()
+    assert world.record(ref) == "queued"  # tasks of it still run
+    world.settle(3)
+    assert world.record(ref) == wire.LOST
+    assert not world.live(ref)
+
+
+def test_limited_work_is_not_stopped_for_others_nor_for_a_notice() -> None:
+    world, ref, worker = running(Repeat.BEFORE_START, legs=2)
+    worker.notice_s = 10.0
+    world.step(1.0)
+    world.submit(ref="j-000009", rig="standing", urgency="production", driftwood=False, legs=2)
+    world.settle(3)
+    assert len(world.live(ref)) == 2
+    assert world.record(ref) == "queued"
+
+
+def test_a_gang_that_never_became_whole_has_not_begun() -> None:
+    world, ref, worker = world_with(Repeat.BEFORE_START, rig="gang")
+    task = next(iter(world.cluster.jobs[ref].tasks.values()))
+    worker.tasks[(task.name, task.attempt)] = FakeTask("ended", wire.WHY_ALONE)
+    world.send()
+    assert state_after(world, ref) == ("queued", 1)
+
+
+async def test_users_are_told_nothing_that_the_protocol_forbids() -> None:
+    world, ref, worker = running(Repeat.NEVER)
+    release(world, worker)
+    state_after(world, ref)
+    client = FakeStateClient(world.state)
+
+    class Back:
+        types = world.cluster.types
+        display: dict[str, tuple[int, int]] = {}  # noqa: RUF012
+
+        def ready(self) -> bool:
+            return True
+
+        def tell_accepted(self, *_: Any) -> None: ...
+        def tell_cancelled(self, *_: Any) -> None: ...
+
+    users = Users(node_settings(), client, Back())  # type: ignore[arg-type]
+    assert (await users.show(ref)).value["status"] == "queued"
+    assert (await users.submit(wire.submission(world.jobs[ref]))).status in (200, 422)
+    answer = await users.cancel(ref)
+    assert (answer.status, answer.value["status"]) == (200, "aborted")
+    assert (await users.show(ref)).value["status"] == "aborted"
+
+
+async def test_a_leader_that_watches_does_not_take_a_lost_job_up_again() -> None:
+    world, ref, worker = running(Repeat.NEVER)
+    release(world, worker)
+    state_after(world, ref)
+    lead, client, _ = leader(world.state)
+    lead._watch_from = 0
+    lead.over = False
+    client.changes = _once(lead, client)  # type: ignore[method-assign]
+    await lead._watch_loop()
+    assert ref not in lead.cluster.jobs
+    _, _, state = read_job(world.state.items[f"jobs/{ref}"][0])
+    assert state == wire.LOST
+
+
+def _once(lead: Any, client: FakeStateClient) -> Any:
+    changes = client.changes
+
+    async def ask(*arguments: Any) -> Any:
+        lead.over = True
+        return await changes(*arguments)
+
+    return ask
+
+
+def test_settings_of_repeats_name_the_class(tmp_path: Path) -> None:
+    path = tmp_path / "own.ini"
+    path.write_text("[repeat]\nMoves = before_start\nreplays = never\n")
+    assert load(path) == {"Moves": Repeat.BEFORE_START, "replays": Repeat.NEVER}
+    path.write_text("[repeat]\nmoves = once\n")
+    with pytest.raises(SettingsError, match="moves: must be any, before_start, never"):
+        load(path)
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,6 +17,7 @@
 from oatport.control.predictor import Predictor
 from oatport.control.records import CATALOG_KEY, DARK_KEY, FLEET, LEADER_KEY, LIVE, Batch, cancel_key, job_key, live_key
 from oatport.control.recovery import load
+from oatport.control.repeats import Repeats
 from oatport.settings import (
     CloudLimits,
     ClusterSettings,
@@ -75,6 +76,7 @@
         self.workers: dict[str, FakeWorker] = {}
         self.jobs: dict[str, dict[str, Any]] = {}
         self.refused: set[str] = set()
+        self.repeats: Repeats = {}
         self.take_over()
 
     # --- the leader ---------------------------------------------------------------------------
@@ -87,6 +89,7 @@
         )
         assert status == 200
         self.cluster = Cluster(value["ledgerRev"], self.settings, Tuning(), dict(TYPES), Predictor())
+        self.cluster.repeats = self.repeats
         rows = [row for prefix in (DARK_KEY, FLEET, LIVE) for row in self.state.list(prefix)[1]["rows"]]
         load(self.cluster, rows, self.now, self.now)
         self.placer = Placer(self.cluster)
