--- a/oatport/cli.py
+++ b/oatport/cli.py
@@ -17,6 +17,7 @@
 from oatport.settings import SettingsError, load, load_tuning
 
 if TYPE_CHECKING:
+    from oatport.control.repeats import Repeats
     from oatport.windows.settings import WindowSettings
 
 LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
@@ -70,17 +71,16 @@
     return load_section(tuning)
 
 
-def check_repeats(tuning: str | None) -> None:
-    from oatport.control.repeats import load as load_repeats
+def load_repeats(tuning: str | None) -> Repeats:
+    from oatport.control.repeats import load as load_section
 
-    load_repeats(tuning)
+    return load_section(tuning)
 
 
 def serve(config: str, tuning: str | None) -> int:
     settings, own = load(config), load_tuning(tuning)
     windows = load_windows(tuning)
     set_up_logging()
-    from oatport.control.repeats import load as load_repeats
     from oatport.service.node import Node
 
     repeats = load_repeats(tuning)
@@ -158,7 +158,7 @@
             load(arguments.file)
             load_tuning(arguments.tuning)
             load_windows(arguments.tuning)
-            check_repeats(arguments.tuning)
+            load_repeats(arguments.tuning)
             print(f"{arguments.file}: ok")
             return 0
         if arguments.command == "submit":
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -301,7 +301,7 @@
             remaining = max(self.predictor.run_time(job.ref, spec) - ran, 0)
             if task.running_since and remaining < left * 3 // 4:
                 return  # it will be done before
-        grace = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+        grace = spec.grace_s
         if micros(grace) > left:
             grace = 0.0
         if job.kind is Kind.GANG:
--- a/oatport/control/preemption.py
+++ b/oatport/control/preemption.py
@@ -33,11 +33,10 @@
         only_idle = all(victim.job.rank == IDLE_RANK for victim in found)
         job.preempt_after = now + (pause if not found else IDLE_PAUSE if only_idle else PREEMPT_PAUSE)
         for victim in found:
-            grace = victim.job.spec.save_s + 1.0 if victim.job.spec.checkpoint_s > 0 else 0.0
             mates = victim.job.tasks.values() if victim.job.kind is Kind.GANG else (victim,)
             for mate in list(mates):
                 if mate.phase is Phase.PLACED:
-                    self.cluster.stop(mate, grace)
+                    self.cluster.stop(mate, victim.job.spec.grace_s)
 
     def _make_quota(self, job: Job, now: int) -> None:
         """Its team is at its limit: stop the team's own work of lower priority, the youngest first.
@@ -65,7 +64,7 @@
             other = task.job.spec
             if task.stopping is None and ((cpus > 1e-9 and other.cpus > 0) or (gpus > 1e-9 and other.gpus > 0)):
                 cpus, gpus = cpus - other.cpus, gpus - other.gpus
-                self.cluster.stop(task, other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0)
+                self.cluster.stop(task, other.grace_s)
 
     def _for_guarantee(self, job: Job, now: int) -> bool:
         """May it stop other teams' work of its own priority? Only after a moment: room may just come free."""
--- a/oatport/lab/__init__.py
+++ b/oatport/lab/__init__.py
@@ -1,1 +1,5 @@
 """Experiments in virtual time, reproducible from a seed. Their libraries are the extra `lab`."""
+
+# Here, where the command line gets at them without those libraries.
+FAULTS = ("none", "silent", "expensive-deadline", "lying", "burst")  # of a night
+BREAKS = ("dedupe", "ack-early", "outbox")  # guards of the queues that can be switched off
--- a/oatport/lab/cli.py
+++ b/oatport/lab/cli.py
@@ -7,8 +7,7 @@
 import sys
 from typing import Any
 
-BREAKS = ("dedupe", "ack-early", "outbox")
-FAULTS = ("none", "silent", "expensive-deadline", "lying", "burst")
+from oatport.lab import BREAKS, FAULTS
 
 
 def add(commands: Any) -> None:
--- a/oatport/lab/night.py
+++ b/oatport/lab/night.py
@@ -10,13 +10,13 @@
 import numpy as np
 
 from oatport import wire
+from oatport.lab import FAULTS
 from oatport.times import SECOND
 from oatport.windows.prices import Interval
 
 HOUR = 3600 * SECOND
 BEGINS = 500_000 * HOUR  # a round number of hours and of slots
 HOURS = 12
-FAULTS = ("none", "silent", "expensive-deadline", "lying", "burst")
 CLASS = "rebalance"
 CPUS = 4.0
 BUSY = 0.4  # of the room, all night, by all jobs together
--- a/oatport/lab/queues.py
+++ b/oatport/lab/queues.py
@@ -42,7 +42,6 @@
     Workers,
 )
 
-BREAKS = ("dedupe", "ack-early", "outbox")
 ONCE, OFTEN = "moves", "replays"  # the queues; a lost move may not run again once it may have begun
 REPLIES = "replies"
 QUIET_S = 45.0  # without any new answer for that long, what has none is lost
@@ -93,7 +92,7 @@
         self.gateways: dict[str, tuple[Gateway, Link]] = {}
         self._names = [f"g{i}" for i in range(gateways)]
         self.starts: Counter[str] = Counter()  # by machines that are gone
-        self.changes = self.acked = 0
+        self.changes = 0
 
     async def start(self) -> None:
         self.session = make_session(2048)
@@ -166,7 +165,6 @@
         link.drop()
         gateway.close()
         self.changes += gateway.store.changed
-        self.acked += link.acked
 
     async def close(self) -> None:
         for name in list(self.gateways):
@@ -369,4 +367,4 @@
     return asyncio.run(_experiment(seed, moves, kills, gateways, broken))
 
 
-__all__ = ["BREAKS", "audit", "run", "sound"]
+__all__ = ["audit", "run", "sound"]
--- a/oatport/lab/windows.py
+++ b/oatport/lab/windows.py
@@ -16,7 +16,7 @@
 from oatport.control.model import Job
 from oatport.control.predictor import Predictor
 from oatport.lab.bound import least_cost, possible
-from oatport.lab.night import BEGINS, CLASS, CPUS, FAULTS, HOUR, Night, NightJob, draw
+from oatport.lab.night import BEGINS, CLASS, CPUS, HOUR, Night, NightJob, draw
 from oatport.settings import CloudLimits, ClusterSettings, StateLimits, Team, Tuning, Workers
 from oatport.times import SECOND
 from oatport.windows.holding import Holder
@@ -26,7 +26,7 @@
 
 TICK = 30 * SECOND
 ASKED_EVERY = 600 * SECOND
-__all__ = ["FAULTS", "Outcome", "run", "run_night"]
+__all__ = ["Outcome", "run", "run_night"]
 
 
 @dataclass(slots=True)
--- a/oatport/queues/client.py
+++ b/oatport/queues/client.py
@@ -27,11 +27,9 @@
         self._seen: OrderedDict[str, None] = OrderedDict()
         self._by_identity: OrderedDict[str, dict[str, Any]] = OrderedDict()
         self._remember = remember
-        self.repeated = 0
 
     def fresh(self, message_id: str) -> bool:
         if message_id in self._seen:
-            self.repeated += 1
             return False
         self._seen[message_id] = None
         if len(self._seen) > self._remember:
--- a/oatport/queues/gateway.py
+++ b/oatport/queues/gateway.py
@@ -219,8 +219,7 @@
                 self.group.once("answer", self._job_changed(ref, value))
 
         async def again() -> None:
-            for ref in list(self.outbox.rows):
-                self.outbox._seen_at[ref] = 0  # any of them may be over: the sweep looks
+            self.outbox.look_at_all()
 
         await self._watch(JOBS, take, again)
 
--- a/oatport/queues/link.py
+++ b/oatport/queues/link.py
@@ -32,7 +32,6 @@
         self.group = TaskGroup()
         self._out: AbstractChannel | None = None
         self._connection: AbstractConnection | None = None
-        self.taken = self.acked = 0
 
     def start(self, gateway: Gateway) -> None:
         self.gateway = gateway
@@ -106,7 +105,6 @@
 
     async def _handle(self, queue: QueueSettings, incoming: AbstractIncomingMessage) -> None:
         assert self.gateway is not None
-        self.taken += 1
         headers = dict(incoming.headers or {})
         if REASON in headers:
             # It was dead-lettered before, and came back: once is enough.
@@ -141,7 +139,6 @@
     async def _ack(self, incoming: AbstractIncomingMessage) -> None:
         try:
             await incoming.ack()
-            self.acked += 1
         except Exception as error:  # the connection is gone: the broker delivers it again
             log.debug("ack: %s", type(error).__name__)
 
--- a/oatport/queues/outbox.py
+++ b/oatport/queues/outbox.py
@@ -48,7 +48,6 @@
         self.rows: dict[str, tuple[Row, int]] = {}  # of these parts, not told yet
         self.ready: dict[str, None] = {}  # answered, to be published
         self._seen_at: dict[str, int] = {}
-        self.answered = self.told = 0
 
     # --- parts ------------------------------------------------------------------------------------
 
@@ -104,7 +103,6 @@
             row_key(row.ref), answered.value(), {row_key(row.ref): version, part_key(part_of(row.ref)): token}
         )
         if revision:
-            self.answered += 1
             self.saw(answered, revision)
             return
         await self._reread(row.ref)
@@ -135,7 +133,6 @@
             row_key(ref), told.value(), {row_key(ref): version, part_key(part_of(ref)): token}
         )
         if revision:
-            self.told += 1
             self._forget(ref)
             return True
         await self._reread(ref)
@@ -143,6 +140,10 @@
 
     # --- what time brings ---------------------------------------------------------------------------
 
+    def look_at_all(self) -> None:
+        """Changes were missed: any job may be over, and the next sweeps look."""
+        self._seen_at = dict.fromkeys(self.rows, 0)
+
     def expired(self) -> list[str]:
         """Rows whose time is over though nothing was answered."""
         now = self._clock()
--- a/oatport/service/windowkeeper.py
+++ b/oatport/service/windowkeeper.py
@@ -75,7 +75,7 @@
             log.info("windows: %d tasks let go, %d jobs held", let_go, len(self.holder.planner.plans))
         now = steady()
         if self.book.version != self._written[0] or now - self._written[1] > WRITTEN_EVERY:
-            if self.book.read_at or self.holder.margins.record():
+            if self.book.read_at or self.holder.margins:
                 self._helm.cluster.dirty[KEY] = None
             self._written = self.book.version, now
         self._helm.wake()
--- a/oatport/windows/holding.py
+++ b/oatport/windows/holding.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from oatport.control.model import Hold, Job, Kind, Phase
@@ -20,6 +20,7 @@
 
 IMPROVED_AT_ONCE = 150  # plans made anew in one step
 REKEYED_AT_ONCE = 100
+FORGET_OVER = 1_000  # predictions of jobs that are over, beyond which they are dropped
 MOVES_MOST = 6  # times that a job's record is written for a plan that was made anew
 PAUSES_MOST = 2
 RATE_OVER = 3600 * SECOND
@@ -79,7 +80,6 @@
         self._checked_slot = self._advanced_slot = 0
         self.arrivals = Arrivals()
         self._rekeyed: dict[str, None] = {}
-        self.held_classes: dict[str, None] = {}
         self.anew = 0  # plans made anew: for the status, and for tests
         self.late = 0  # jobs let go after their latest safe start
         cluster.on_measured = self.measured
@@ -115,8 +115,8 @@
         assert deadline is not None
         longest = round(run * self.margins.factor(spec.job_class) * max(rounds, 1))
         latest = deadline - longest - self._reserve(job)
-        return Need(job.ref, cpus, 1 if whole else tasks, max(run, SECOND), latest, self._sort(job, deferral),
-                    deferral.lateness)
+        return Need(job.ref, cpus, 1 if whole else tasks, max(run, SECOND), latest,
+                    self._sort(deferral.price, deferral.carbon), deferral.lateness)
 
     def _reserve(self, job: Job) -> int:
         """Time for what the plan knows nothing of: a machine to boot, once more if it never comes up, an image."""
@@ -126,8 +126,9 @@
         return micros(self.settings.reserve_s) + 2 * boot + 2 * fetch
 
     @staticmethod
-    def _sort(job: Job, deferral: Deferral) -> str:
-        return f"{deferral.price:g}/{deferral.carbon:g}"
+    def _sort(price: float, carbon: float) -> str:
+        """Jobs with the same weights look at the same prices."""
+        return f"{price:g}/{carbon:g}"
 
     def _plan(self, job: Job, deferral: Deferral, wall: int) -> None:
         self.planner.at(wall)
@@ -154,7 +155,6 @@
         before = job.hold or Hold([], "")
         hold = Hold(self._rows(job, plan), plan.why, before.changes, 0, before.pauses)
         self.cluster.hold(job, opened, hold)
-        self.held_classes[job.spec.job_class] = None
 
     @staticmethod
     def _tasks(job: Job, count: int) -> int:
@@ -226,10 +226,10 @@
                 for ref in planner.advance(sort, self.arrivals.expected(wall)):
                     self._keep_plan(self.cluster.jobs[ref], planner.plans[ref])
         let_go = 0
-        latest = {ref: plan.need.latest for ref, plan in planner.plans.items() if plan.need.latest < wall}
+        overdue = planner.overdue()
         for ref, count in planner.due():
             job = self.cluster.jobs[ref]
-            self.late += wall > latest.get(ref, wall) + planner.step
+            self.late += ref in overdue
             self._predicted.setdefault(ref, self.cluster.predictor.run_time(ref, job.spec))
             tasks = self._tasks(job, count)
             if job.hold is not None:
@@ -238,6 +238,8 @@
             if ref not in planner.plans:
                 self.cluster.let_go(job, job.spec.tasks)  # whatever rounding left
             let_go += tasks
+        if len(self._predicted) > 2 * len(self.cluster.jobs) + FORGET_OVER:
+            self._predicted = {ref: run for ref, run in self._predicted.items() if ref in self.cluster.jobs}
         self._price(wall)
         frozen = [ref for ref, plan in planner.plans.items() if plan.moves >= MOVES_MOST] if planner.marked else []
         for ref in planner.improve(IMPROVED_AT_ONCE, frozen):
@@ -264,7 +266,7 @@
         sorts = {(d.price, d.carbon) for _, d in (*self.settings.classes, *self.settings.priorities)}
         for price, carbon in sorted(sorts):
             unit = self.book.slots(wall // planner.step, planner.slots, planner.step, wall, price, carbon)
-            planner.price(f"{price:g}/{carbon:g}", [round(cost, 2) for cost in unit])
+            planner.price(self._sort(price, carbon), [round(cost, 2) for cost in unit])
 
     def _coming(self, wall: int) -> None:
         """What is let go within a moment counts in the queue estimate already."""
@@ -286,13 +288,12 @@
                 continue
             need = self._need(job, deferral, len(running))
             save = micros(job.spec.save_s) + 10 * SECOND
-            need = Need(need.ref, need.cpus, need.tasks, need.run, need.latest - save, need.sort, need.impatience)
-            plan = self.planner.quote(need)
+            plan = self.planner.quote(replace(need, latest=need.latest - save))
             if self._starts_now(plan) or plan.crowded or plan.saving < PAUSE_SAVES:
                 continue
             until = min(plan.starts) * self.planner.step
             for task in running:
-                self.cluster.stop(task, job.spec.save_s + 1.0)
+                self.cluster.stop(task, job.spec.grace_s)
             job.not_before = self.cluster.now + until - wall
             self.cluster.hold(job, -1, Hold([], "paused for a cheaper hour", hold.changes, until, hold.pauses + 1))
 
--- a/oatport/windows/margins.py
+++ b/oatport/windows/margins.py
@@ -42,6 +42,10 @@
         known = min(len(ordered) / ENOUGH, 1.0)
         return max(LEAST, high * known + PRIOR * (1 - known), high)
 
+    def __bool__(self) -> bool:
+        """Something was learnt."""
+        return bool(self._ratios)
+
     def record(self) -> dict[str, list[float]]:
         return {name: [round(ratio, 3) for ratio in ratios] for name, ratios in self._ratios.items()}
 
--- a/oatport/windows/planner.py
+++ b/oatport/windows/planner.py
@@ -15,7 +15,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 VICTIMS_MOST = 16  # jobs looked at for room that one without any takes
 ADVANCED_MOST = 500  # jobs that start earlier than planned in one slot
@@ -117,17 +117,6 @@
                     self.work += 1
                     self._dirty[ref] = None
 
-    def resize(self, capacity: float) -> None:
-        """Another expected capacity. Jobs in slots that are overfull now are planned anew."""
-        change = (capacity - self.capacity) * self.step
-        if capacity <= 0 or abs(change) < EPSILON:
-            return
-        self.capacity = capacity
-        for place in range(self.slots):
-            self._free[place] += change
-            if self._free[place] < -EPSILON:
-                self._dirty.update(dict.fromkeys(self._in_slot.get(self._first + place, ())))
-
     # --- jobs ------------------------------------------------------------------------------------
 
     def add(self, need: Need) -> Plan:
@@ -170,6 +159,13 @@
         self._put(plan)
         return plan
 
+    def overdue(self) -> set[str]:
+        """Jobs that should have started more than a slot ago."""
+        if not self._latest or self._latest[0][0] + self.step >= self.now:
+            return set()  # the soonest bound comes first
+        return {ref for at, ref in self._latest if at + self.step < self.now
+                and ref in self.plans and self.plans[ref].need.latest == at}
+
     def due(self) -> list[tuple[str, int]]:
         """Jobs of which tasks start now, and how many: each is told once."""
         ready: dict[str, int] = {}
@@ -209,8 +205,7 @@
             del self.plans[ref]
             self._dirty.pop(ref, None)
             return
-        need = plan.need
-        plan.need = Need(need.ref, need.cpus, need.tasks - count, need.run, need.latest, need.sort, need.impatience)
+        plan.need = replace(plan.need, tasks=plan.need.tasks - count)
 
     def improve(self, most: int, frozen: Iterable[str] = ()) -> list[str]:
         """Plan up to `most` marked jobs anew, the soonest first; those whose plan changed."""
--- a/oatport/wire.py
+++ b/oatport/wire.py
@@ -79,6 +79,11 @@
     save_s: float = msgspec.field(name="stowS")
     deadline_s: float | None = msgspec.field(name="tideS", default=None)
 
+    @property
+    def grace_s(self) -> float:
+        """How long a task gets to leave when it is stopped: as long as it takes to save, if it saves at all."""
+        return self.save_s + 1.0 if self.checkpoint_s > 0 else 0.0
+
 
 _REF_LIMIT = 64
 
