Planning looks at what can be placed: waiting work in lines, routing at a pace, no pass in vain

Waiting jobs stand in lines by what they look for (control/agenda.py); a line whose first finds no room is left. A pass runs when something changed that could matter, or when a time it noted has come (Placer.due, look_at). All routes are renewed at a pace that falls with the size; a job that comes meanwhile is routed by its place in the queue as it stood. A team at its limit looks for its own lower work only if there is any.

--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import heapq
-from dataclasses import dataclass
+from bisect import bisect_left
+from dataclasses import dataclass, field
 
+from oatport.control.agenda import NO_DEADLINE, RUN_STEP, OrderKey, order_key
 from oatport.control.cluster import Cluster
 from oatport.control.fleet import Fleet
 from oatport.control.model import IDLE_RANK, Job, Kind
 from oatport.control.records import chunk_key
 from oatport.control.router import OWNED, SPOT
-from oatport.times import SECOND, micros
+from oatport.times import MS, SECOND, micros
+
+ROUTE_EVERY = 400 * MS
+ROUTE_LATEST = 2 * SECOND  # also when nothing has changed: deadlines come nearer all the same
+ROUTE_AT_ONCE = 2000  # waiting jobs and running tasks, beyond which routing is paced by their number
+LEARN_EVERY = 2 * SECOND
 
-NO_DEADLINE = 600 * SECOND  # by when a job without a deadline is taken to be wanted
 
 @dataclass(slots=True)
 class _Pool:
@@ -73,12 +79,21 @@
 
 def dues(cluster: Cluster, job: Job) -> list[int]:
     """Times of day by which its end is looked for: its deadline, multiples of it, and its class's aims at the end."""
-    times: list[int] = []
-    if job.spec.deadline_s is not None:
-        multiples = cluster.deadline_aims.get(job.spec.job_class) or (1.0,)
-        times += [job.submitted_at + micros(job.spec.deadline_s * multiple) for multiple in multiples]
-    times += [job.submitted_at + within for within in cluster.finish_aims.get(job.spec.job_class, ())]
-    return sorted(times)
+    if job.dues is None:
+        times: list[int] = []
+        if job.spec.deadline_s is not None:
+            multiples = cluster.deadline_aims.get(job.spec.job_class) or (1.0,)
+            times += [job.submitted_at + micros(job.spec.deadline_s * multiple) for multiple in multiples]
+        times += [job.submitted_at + within for within in cluster.finish_aims.get(job.spec.job_class, ())]
+        job.dues = sorted(times)
+    return job.dues
+
+
+def _set_target(job: Job, times: list[int], run: int, wall: int) -> None:
+    """What is lost anyway is not worth a dearer machine: the first deadline that it could meet if it ran now."""
+    job.due, job.late = times[0] if times else job.submitted_at + NO_DEADLINE, job.suspect
+    if times and not job.suspect:
+        job.target = next((due for due in times if due >= wall + run), wall + NO_DEADLINE)
 
 
 def mark_late(cluster: Cluster, by_type: dict[str, _Pool], wall: int) -> None:
@@ -91,13 +106,9 @@
     queues: dict[tuple[int, tuple[str, ...]], list[tuple[Job, list[int]]]] = {}
     for job in cluster.waiting:
         times = dues(cluster, job)
-        job.due, job.late = times[0] if times else job.submitted_at + NO_DEADLINE, job.suspect
+        _set_target(job, times, cluster.predictor.run_time(job.ref, job.spec), wall)
         if times and not job.suspect:
-            soonest = wall + cluster.predictor.run_time(job.ref, job.spec)
-            # What is lost anyway is not worth a dearer machine.
-            job.target = next((due for due in times if due >= soonest), wall + NO_DEADLINE)
-            suited = tuple(kind.name for kind in cluster.suited(job))
-            queues.setdefault((job.rank, suited), []).append((job, times))
+            queues.setdefault((job.rank, cluster.suited_names(job)), []).append((job, times))
     for (_, suited), jobs in queues.items():
         pool = _pool(by_type, suited)
         left = jobs if pool.total > 0 else []
@@ -130,38 +141,70 @@
     return missed
 
 
-def _work_ahead(
-    cluster: Cluster, by_type: dict[str, _Pool], order: list[Job]
-) -> dict[Job, tuple[int, int | None]]:
-    """For each waiting job the predicted time until its last task starts: over all machines, and over owned.
+@dataclass(slots=True)
+class _Queue:
+    """The work before one set of machine types, and what stands ahead of each waiting job there, in order."""
 
-    The predicted work ahead of it in the queue, its own included, and the running tasks' remainder,
-    spread over the machines of the types that suit it. None: none of them is owned.
-    """
-    pools: dict[tuple[str, ...], _Pool] = {}
-    waits: dict[Job, tuple[int, int | None]] = {}
-    for job, tasks in cluster.coming:  # held work that is let go before long: else its release meets a full house
-        suited = tuple(kind.name for kind in cluster.suited(job))
-        pools.setdefault(suited, _pool(by_type, suited)).left_total += (
-            cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * tasks
-        )
-    for job in order:
-        suited = tuple(kind.name for kind in cluster.suited(job))
-        pool = pools.get(suited)
-        if pool is None:
-            pool = pools[suited] = _pool(by_type, suited)
-        work = cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * (1 if job.suspect else job.pending)
-        pool.left_total += work
-        if job.tier != SPOT:
-            pool.left_owned += work
+    pool: _Pool
+    keys: list[OrderKey] = field(default_factory=list)
+    total: list[float] = field(default_factory=list)  # CPU-us ahead of the job at this place
+    owned: list[float] = field(default_factory=list)  # the same of what is for owned machines
+
+    def wait(self, job: Job, total: float, owned: float) -> tuple[int, int | None]:
+        """The predicted time until its last task starts: over all machines, and over owned; None: none is owned."""
+        pool = self.pool
         # A gang's tasks run all at once: owned room too small for that is none.
         least = job.spec.cpus * job.pending if job.kind is Kind.GANG else 1.0
-        waits[job] = (
-            round((pool.left_total + (pool.idle if job.rank == IDLE_RANK else 0.0)) / pool.total)
+        return (
+            round((total + (pool.idle if job.rank == IDLE_RANK else 0.0)) / pool.total)
             if pool.total > 0 else 600 * SECOND,
-            round(pool.left_owned / pool.owned) if pool.owned >= least else None,
+            round(owned / pool.owned) if pool.owned >= least else None,
         )
-    return waits
+
+
+class Queues:
+    """The queue estimate: the predicted work ahead of each job, its own included, and the running tasks' remainder.
+
+    Spread over the machines of the types that suit a job.
+    """
+
+    def __init__(self, cluster: Cluster, by_type: dict[str, _Pool]) -> None:
+        self._cluster = cluster
+        self._by_type = by_type
+        self._queues: dict[tuple[str, ...], _Queue] = {}
+        for job, tasks in cluster.coming:  # held work that is let go before long: else its release meets a full house
+            self._of(job).pool.left_total += cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * tasks
+
+    def _of(self, job: Job) -> _Queue:
+        suited = self._cluster.suited_names(job)
+        queue = self._queues.get(suited)
+        if queue is None:
+            queue = self._queues[suited] = _Queue(_pool(self._by_type, suited))
+        return queue
+
+    def _work(self, job: Job) -> float:
+        tasks = 1 if job.suspect else job.pending
+        return self._cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * tasks
+
+    def append(self, job: Job) -> tuple[int, int | None]:
+        """The wait of the next job in order."""
+        queue, work = self._of(job), self._work(job)
+        queue.keys.append(order_key(job))
+        queue.total.append(queue.pool.left_total)
+        queue.owned.append(queue.pool.left_owned)
+        queue.pool.left_total += work
+        if job.tier != SPOT:
+            queue.pool.left_owned += work
+        return queue.wait(job, queue.pool.left_total, queue.pool.left_owned)
+
+    def among(self, job: Job) -> tuple[int, int | None]:
+        """The wait of a job that came since, by its place among the others."""
+        queue, work = self._of(job), self._work(job)
+        place = bisect_left(queue.keys, order_key(job))
+        last = place == len(queue.keys)
+        ahead = queue.pool.left_total if last else queue.total[place]
+        ahead_owned = queue.pool.left_owned if last else queue.owned[place]
+        return queue.wait(job, ahead + work, ahead_owned + work)
 
 
 def mark_guaranteed(cluster: Cluster) -> None:
@@ -172,9 +215,13 @@
     counted"), and twelve teams would do so in turns.
     """
     taken: dict[str, tuple[float, float]] = {}
-    for job in sorted(cluster.jobs.values(), key=lambda j: (j.submitted_at, j.ref)):
-        use = cluster.teams.get(job.spec.team)
-        if use is None or job.cancelled or job.finishing or use.limits.cpus <= 0:
+    teams = {name: use for name, use in cluster.teams.items() if use.limits.cpus > 0}
+    if not teams:
+        return  # and none ever was
+    with_one = [job for job in cluster.jobs.values() if job.spec.team in teams]
+    for job in sorted(with_one, key=lambda j: (j.submitted_at, j.ref)):
+        use = teams[job.spec.team]
+        if job.cancelled or job.finishing:
             job.guaranteed = False
             continue
         spec, left = job.spec, job.spec.tasks - len(job.done)
@@ -185,20 +232,11 @@
 
 
 def order(cluster: Cluster, now: int) -> list[Job]:
-    """Waiting jobs: by priority, then a team's guarantee, then by how soon the deadline presses.
-
-    Of the same priority, those that can't meet any deadline come last.
-    """
+    """The waiting jobs that may be placed now, in order (`control/agenda.py`)."""
+    return sorted((j for j in cluster.waiting if j.not_before <= now and not j.strays), key=order_key)
 
-    def rank(job: Job) -> tuple[int, bool, int, bool, int, int, str]:
-        due = job.due or job.deadline or job.submitted_at + NO_DEADLINE
-        return job.rank, job.suspect, 0 if job.guaranteed else 1, job.late, due, job.submitted_at, job.ref
 
-    return sorted((j for j in cluster.waiting if j.not_before <= now and not j.strays), key=rank)
-
-
-def route_waiting(cluster: Cluster, fleet: Fleet, now: int, wall: int) -> None:
-    """Set the tier of every waiting job; a changed tier is recorded with its first chunk."""
+def _learn(cluster: Cluster, now: int) -> None:
     ages = [now - m.rented_at for m in cluster.machines.values() if m.spot and m.up_at]
     # Since when an earlier leader's tasks run is not known.
     running = [
@@ -207,24 +245,94 @@
         and t.job.rank < IDLE_RANK
     ]
     cluster.router.learn(ages, running)
-    mark_guaranteed(cluster)
-    by_type = _pools_by_type(cluster, now)
-    mark_late(cluster, by_type, wall)
-    waiting = order(cluster, now)
-    waits = _work_ahead(cluster, by_type, waiting)
-    still: dict[tuple[bool, str | None, tuple[str, ...]], bool] = {}  # rentable? many jobs want the same sorts
-
-    def rentable(job: Job, spot: bool) -> bool:
-        sorts = (spot, job.spec.zone, tuple(kind.name for kind in cluster.allowed(job)))
-        if sorts not in still:
-            still[sorts] = fleet.open(job, spot, now)
-        return still[sorts]
-
-    for job in waiting:
-        over_all, over_owned = waits[job]
+
+
+class Backlog:
+    """Keeps the routes of waiting work up to date, at a cost that is bounded whatever waits.
+
+    All of it is routed anew at a pace that falls with what there is to look at; what came meanwhile is routed by
+    itself, by its place in the queue as it stood.
+    """
+
+    def __init__(self, cluster: Cluster, fleet: Fleet) -> None:
+        self._cluster = cluster
+        self._fleet = fleet
+        self._routed_at = -ROUTE_LATEST
+        self._learnt_at = -LEARN_EVERY
+        self._seen: tuple[int, int] = (-1, -1)  # what there was to look at then
+        self._queues: Queues | None = None
+
+    def pace(self) -> int:
+        """How long until all waiting work is routed again, if something has changed meanwhile."""
+        size = len(self._cluster.waiting) + sum(self._cluster.rank_tasks)
+        return min(ROUTE_LATEST, max(ROUTE_EVERY, ROUTE_EVERY * size // ROUTE_AT_ONCE))
+
+    def step(self, now: int, wall: int) -> None:
+        cluster = self._cluster
+        seen = (cluster.waiting.version, cluster.moves)
+        since = now - self._routed_at
+        if since >= ROUTE_LATEST or (since >= self.pace() and seen != self._seen) or self._queues is None:
+            self.route_all(now, wall)
+            self._routed_at, self._seen = now, seen
+        elif cluster.waiting.unrouted:
+            self._route_new(now, wall)
+
+    def route_all(self, now: int, wall: int) -> None:
+        cluster = self._cluster
+        if now - self._learnt_at >= LEARN_EVERY:
+            self._learnt_at = now
+            _learn(cluster, now)
+        mark_guaranteed(cluster)
+        by_type = _pools_by_type(cluster, now)
+        mark_late(cluster, by_type, wall)
+        waiting = order(cluster, now)
+        self._queues = Queues(cluster, by_type)
+        waits = [self._queues.append(job) for job in waiting]
+        rentable = _Rentable(cluster, self._fleet, now)
+        for job, wait in zip(waiting, waits, strict=True):
+            self._route(job, wait, rentable, wall)
+        cluster.waiting.unrouted.clear()
+        cluster.waiting.rerank()
+
+    def _route_new(self, now: int, wall: int) -> None:
+        cluster = self._cluster
+        assert self._queues is not None
+        mark_guaranteed(cluster)
+        rentable = _Rentable(cluster, self._fleet, now)
+        for job in list(cluster.waiting.unrouted):
+            _set_target(job, dues(cluster, job), cluster.predictor.run_time(job.ref, job.spec), wall)
+            self._route(job, self._queues.among(job), rentable, wall)
+            cluster.waiting.moved(job)
+        cluster.waiting.unrouted.clear()
+
+    def _route(self, job: Job, wait: tuple[int, int | None], rentable: _Rentable, wall: int) -> None:
+        cluster = self._cluster
+        over_all, over_owned = wait
+        job.run_step = cluster.predictor.run_time(job.ref, job.spec) // RUN_STEP
         tier = cluster.router.route(job, wall, over_owned, rentable(job, True), rentable(job, False), over_all)
         if tier != job.tier:
             job.tier = tier
             cluster.replan = True
             if tier == OWNED or job.lost:
                 cluster.dirty.setdefault(chunk_key(job.ref, 0), None)
+
+
+class _Rentable:
+    """Whether machines for a job are still to be had; many jobs want the same sorts."""
+
+    def __init__(self, cluster: Cluster, fleet: Fleet, now: int) -> None:
+        self._cluster, self._fleet, self._now = cluster, fleet, now
+        self._known: dict[tuple[bool, str | None, tuple[str, ...] | None, tuple[float, float, float]], bool] = {}
+
+    def __call__(self, job: Job, spot: bool) -> bool:
+        spec = job.spec
+        sort = (spot, spec.zone, tuple(spec.types) if spec.types else None, (spec.cpus, spec.gpus, spec.memory_gb))
+        found = self._known.get(sort)
+        if found is None:
+            found = self._known[sort] = self._fleet.open(job, spot, self._now)
+        return found
+
+
+def route_waiting(cluster: Cluster, fleet: Fleet, now: int, wall: int) -> None:
+    """Set the tier of every waiting job; a changed tier is recorded with its first chunk."""
+    Backlog(cluster, fleet).route_all(now, wall)
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -36,6 +36,13 @@
         cheap = min(machine.type.spot_price or machine.price, machine.price)
         return max(idle, round(idle * self.tuning.gpu_idle_factor * cheap / max(machine.price, 1e-9)))
 
+    def find_usable(self, now: int) -> list[Machine]:
+        """The machines that tasks may be placed on now."""
+        self.usable_now = [
+            m for m in self.machines.values() if m.usable(self.token, now, self.fresh_us) and m.zone not in self.dark
+        ]
+        return self.usable_now
+
     def fills(self, job: Job, machine: Machine, now: int) -> bool:
         """May an array task without need of GPUs use a machine that has them?
 
@@ -149,6 +156,8 @@
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return machine  # an older message that came late
         new_session = report.session != machine.session
+        if now - machine.heard_at > self.fresh_us:
+            self.replan = True  # its free room counts again
         machine.heard_at = self.now = now
         self.wall_offset = wall - now
         if machine.zone in self.dark:
@@ -172,6 +181,7 @@
             machine.images = {image: at for image, at in machine.images.items() if at == 1}
         machine.session, machine.seq, machine.token = report.session, report.seq, report.token
         if report.notice_s is None:
+            self.replan = self.replan or machine.taken_at > 0
             machine.taken_at = 0
         else:
             taken_at = now + micros(max(report.notice_s, 0.0))
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -125,8 +125,12 @@
     guaranteed: bool = False  # it fits its team's guarantee together with the team's earlier jobs
     hungry_since: int = 0  # steady; when it last began to wait without getting a machine
     preempt_after: int = 0  # steady; one round of preemption at a time
-    # Machine types that can run it, and the catalog that they were found in.
+    run_step: int = 0  # its predicted run time in steps, as of the last routing
+    place: object = None  # where it stands among the waiting (`control/agenda.py`)
+    dues: list[int] | None = None  # times of day by which its end is looked for: they never change
+    # Machine types that can run it, the names of those that suit it, and the catalog that they were found in.
     allowed: tuple[int, list[wire.MachineType]] | None = None
+    suited: tuple[int, list[wire.MachineType], tuple[str, ...]] | None = None
 
     def __post_init__(self) -> None:
         self.kind = Kind(self.spec.kind)
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from oatport.control.backlog import order
+from oatport.control.agenda import RUN_STEP
 from oatport.control.cluster import Cluster
 from oatport.control.model import IDLE_RANK, Job, Kind, Machine, zone_cap
 from oatport.control.preemption import PREEMPT_PAUSE, Preemption
@@ -10,9 +10,10 @@
 from oatport.control.suitability import BEFORE_ZONES, machine_allowed
 from oatport.times import SECOND
 
-FILL_STEP = 5 * SECOND  # run times that differ by less count as one when GPU machines are filled
 CROWDED = 0.2  # owned room is taken up if no more than this share is free
 CLAIMS_AHEAD = 24  # claims not yet written, beyond which a swarm's wait
+CLAIMS_PAUSE = SECOND // 10
+LOOK_AGAIN = 2 * SECOND  # a pass though nothing is known to have changed: a guard, not a means
 WARM_AFTER = 8 * SECOND  # an image claimed for that long is taken to be fetched
 WARM_WAIT = SECOND * 7 // 10  # how long a replica waits for room to be made where its image is
 
@@ -23,73 +24,96 @@
         self._gpus_kept = False
         self._rankings: dict[tuple[object, ...], Ranking] = {}  # of the pass under way
         self._claimed: list[Machine] = []  # in it, in order
+        self._booting: list[Machine] | None = None
+
+    def due(self, now: int) -> bool:
+        """Is a pass worth its cost: has anything changed since the last one that could matter to it?
+
+        A full house with thousands of tasks waiting was searched again and again for room that could not be there.
+        What makes room or changes the queue sets `replan`; what only time brings is in `look_at`.
+        """
+        return self.cluster.replan or (bool(self.cluster.waiting) and now >= self.look_at)
 
     def plan(self, now: int) -> int:
         """Claim machines for as many waiting tasks as possible; the number claimed."""
         cluster = self.cluster
         cluster.replan = False
         cluster.now = now
-        usable = [
-            m for m in cluster.machines.values()
-            if m.usable(cluster.token, now, cluster.fresh_us) and m.zone not in cluster.dark
-        ]
-        cluster.usable_now = usable
-        waiting = order(cluster, now)
+        self.look_at = now + LOOK_AGAIN
+        usable = cluster.find_usable(now)
+        waiting = cluster.waiting
         if not waiting:
             return 0
+        for machine in cluster.machines.values():
+            if machine.blocked_until > now:
+                self.look_by(machine.blocked_until)
         # Most machines are full most of the time: no job looks at those where none that waits would fit.
-        smallest = min(job.spec.cpus for job in waiting) - 1e-9
+        smallest = waiting.smallest() - 1e-9
         roomy = [m for m in usable if m.free_cpus >= smallest]
-        booting = [m for m in cluster.machines.values() if m.coming(now, cluster.token)]
-        self._crowded = self._work_beside(waiting, usable)
+        self._booting = None
+        self._crowded = self._work_beside(usable)
         self._gpus_kept = any(m.type.gpus > 0 for m in roomy)  # who may use them depends on the run time
         self._rankings.clear()
         self._claimed.clear()
         zones = {m.zone for m in usable}
-        claimed = 0
+        claimed = swept = 0
         # What found no room in this pass, by all else that decides about room: nothing as large will either.
         full: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
-        for job in waiting:
+        for line, job in waiting.walk():
+            if job.not_before > now:
+                self.look_by(job.not_before)
+                continue
+            if job.strays:
+                continue
             spec = job.spec
             use = cluster.teams.get(spec.team)
             limit = min(job.pending, use.room(spec) if use else 0)
             if use is not None and limit < (job.pending if job.kind is Kind.GANG else 1):
                 self._make_quota(job, now)
+                # The rest of a line is of the same team, and wants as much.
+                line.over = line.plain and not any(use.rank_arrays[job.rank + 1:])
             if job.rank == IDLE_RANK and len(cluster.urgent) > CLAIMS_AHEAD:
+                self.look_by(now + CLAIMS_PAUSE)
+                line.over = line.plain
                 continue  # room claimed but not written down can't be given to anybody else
             if job.suspect and job.kind is not Kind.GANG:
                 limit = min(limit, 1 - job.on_machines)  # one is enough to see whether it fails again
             if limit <= 0:
                 continue
-            job.hungry_since = job.hungry_since or now
             if spec.spread and all(job.zones.get(zone, 0) >= zone_cap(spec) for zone in zones):
                 continue  # while a zone is cut off, those that belong there look for nothing elsewhere
             if job.kind is Kind.GANG:
                 got = self._place_gang(job, roomy, now)
                 if not got and not job.on_machines and not job.suspect:
                     self.preempt(job, usable, now)
-                    held = self._gang_waits_for(job, roomy, booting)
+                    held = self._gang_waits_for(job, roomy, now)
                     if held:
                         usable, roomy = self._without(held, usable, roomy)
+                # What machines with GPUs have left beside a gang is room for those that found none before.
+                cluster.replan = cluster.replan or bool(got)
             else:
                 sort = (spec.spot, job.tier, spec.zone, tuple(spec.types) if spec.types else None, job.rank,
-                        self._gpus_kept and cluster.predictor.run_time(job.ref, spec) // FILL_STEP)
-                plain = not (spec.spread or spec.one_zone)
-                if plain and any(
+                        self._gpus_kept and job.run_step)
+                free_to_go = not (spec.spread or spec.one_zone)
+                if free_to_go and any(
                     spec.cpus >= cpus and spec.gpus >= gpus and spec.memory_gb >= memory_gb
                     for cpus, gpus, memory_gb in full.get(sort, ())
                 ):
+                    line.over = line.plain
                     continue
                 got, kept = self._place(job, limit, roomy, usable, now)
                 if kept is not None:
                     # Nobody else takes the room it falls back on, which may have been made for it.
                     usable, roomy = self._without({kept}, usable, roomy)
+                    self.look_by(now + WARM_WAIT // 4)
                 elif got < limit:
-                    if plain:
+                    if free_to_go:
                         full.setdefault(sort, []).append((spec.cpus, spec.gpus, spec.memory_gb))
+                    line.over = line.plain
                     self.preempt(job, usable, now)
-            if got:
-                claimed += got
+            claimed += got
+            if len(self._claimed) - swept > len(roomy) // 4:
+                swept = len(self._claimed)
                 roomy = [m for m in roomy if m.free_cpus >= smallest]
         return claimed
 
@@ -101,10 +125,9 @@
             ranking.drop(held)
         return [m for m in usable if m not in held], [m for m in roomy if m not in held]
 
-    @staticmethod
-    def _work_beside(waiting: list[Job], usable: list[Machine]) -> bool:
+    def _work_beside(self, usable: list[Machine]) -> bool:
         """There is work beside services to use the room that they leave: none is kept, and paid, for nothing."""
-        if any(job.kind is not Kind.SERVICE for job in waiting):
+        if any(job.kind is not Kind.SERVICE for job in self.cluster.waiting):
             return True
         owned = [m for m in usable if not m.spot and m.type.gpus == 0]
         return sum(m.free_cpus for m in owned) < CROWDED * sum(m.type.cpus for m in owned)
@@ -150,7 +173,7 @@
         """The machines that may take a task of the job now, shared by all jobs that look for the same."""
         spec, cluster = job.spec, self.cluster
         mates = job.kind is Kind.SERVICE and spec.tasks >= cluster.tuning.mate_room_tasks
-        fills_for = cluster.predictor.run_time(job.ref, spec) // FILL_STEP if self._gpus_kept else 0
+        fills_for = cluster.predictor.run_time(job.ref, spec) // RUN_STEP if self._gpus_kept else 0
         key = (
             job.kind, job.rank, job.tier, spec.spot, spec.zone, tuple(spec.types) if spec.types else None, spec.cpus,
             spec.gpus, spec.memory_gb, spec.image, spec.image_gb, within, mates, cluster.takes_free_spot(job),
@@ -209,12 +232,16 @@
         self._claimed += best
         return need
 
-    def _gang_waits_for(self, job: Job, roomy: list[Machine], booting: list[Machine]) -> set[Machine]:
+    def _gang_waits_for(self, job: Job, roomy: list[Machine], now: int) -> set[Machine]:
         """Free machines that a gang will have as soon as the ones that boot in the same zone are up.
 
         Without this, smaller jobs take them one by one, and a gang of several machines starts never.
         """
         spec = job.spec
+        if self._booting is None:
+            token = self.cluster.token
+            self._booting = [m for m in self.cluster.machines.values() if m.coming(now, token)]
+        booting = self._booting
         best: set[Machine] = set()
         most = 0
         for zone in sorted({m.zone for m in roomy}) if spec.one_zone else [None]:
--- a/oatport/control/preemption.py
+++ b/oatport/control/preemption.py
@@ -18,13 +18,20 @@
     def __init__(self, cluster: Cluster) -> None:
         super().__init__(cluster)
         self.looked_at = 0  # machines looked at: what tests count instead of time
+        self.look_at = 0  # when the next pass may find something that no event tells of (steady)
+
+    def look_by(self, at: int) -> None:
+        self.look_at = min(self.look_at, at)
 
     def preempt(self, job: Job, usable: list[Machine], now: int, *, pause: int = VAIN_PAUSE) -> None:
         """Make room for a job of higher priority, or for a team that lacks its guarantee.
 
         A search in vain is not repeated for `pause`: it looks at every task of every machine.
         """
-        if job.preempt_after > now or job.suspect:
+        if job.suspect or not self._may_stop(job, now):
+            return
+        if job.preempt_after > now:
+            self.look_by(job.preempt_after)
             return
         # Idle work gives way at once; of others a few are stopped at a time.
         idle = self.cluster.rank_tasks[IDLE_RANK] > 0 and not self._for_guarantee(job, now)
@@ -32,23 +39,40 @@
         found = self._cheapest_victims(job, usable, wanted, now)
         only_idle = all(victim.job.rank == IDLE_RANK for victim in found)
         job.preempt_after = now + (pause if not found else IDLE_PAUSE if only_idle else PREEMPT_PAUSE)
+        self.look_by(max(job.preempt_after, now + VAIN_PAUSE))
         for victim in found:
             mates = victim.job.tasks.values() if victim.job.kind is Kind.GANG else (victim,)
             for mate in list(mates):
                 if mate.phase is Phase.PLACED:
                     self.cluster.stop(mate, victim.job.spec.grace_s)
 
+    def _may_stop(self, job: Job, now: int) -> bool:
+        """Is there anybody at all whom it may stop? If only later, that is when to look again."""
+        if any(self.cluster.rank_tasks[job.rank + 1:]):
+            return True
+        if not job.guaranteed or not self.cluster.rank_tasks[job.rank]:
+            return False
+        if self._for_guarantee(job, now):
+            return True
+        if job.hungry_since:
+            self.look_by(job.hungry_since + self.cluster.tuning.us("guarantee_patience_s") + 1)
+        return False
+
     def _make_quota(self, job: Job, now: int) -> None:
         """Its team is at its limit: stop the team's own work of lower priority, the youngest first.
 
         A service once waited 60 s for its team's own arrays.
         """
         spec = job.spec
-        if job.preempt_after > now or job.suspect:
+        use = self.cluster.teams[spec.team]
+        # Looked for among all that the team runs, for each of its waiting jobs twice a second: only if there is any.
+        if job.suspect or not any(use.rank_arrays[job.rank + 1:]):
+            return
+        if job.preempt_after > now:
+            self.look_by(job.preempt_after)
             return
         cpus = spec.cpus * job.pending
         gpus = spec.gpus * job.pending
-        use = self.cluster.teams[spec.team]
         cpus -= max(use.limits.cpus_max - use.cpus, 0.0) if use.limits.cpus_max > 0 else cpus
         gpus -= max(use.limits.gpus_max - use.gpus, 0.0) if use.limits.gpus_max > 0 else gpus
         lower = [
@@ -60,6 +84,7 @@
         cpus -= sum(t.job.spec.cpus for t in lower if t.stopping is not None)
         gpus -= sum(t.job.spec.gpus for t in lower if t.stopping is not None)
         job.preempt_after = now + VAIN_PAUSE
+        self.look_by(job.preempt_after)
         for task in sorted(lower, key=lambda t: (-t.job.rank, now - (t.running_since or now), t.name)):
             other = task.job.spec
             if task.stopping is None and ((cpus > 1e-9 and other.cpus > 0) or (gpus > 1e-9 and other.gpus > 0)):
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -5,11 +5,12 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from oatport import wire
 from oatport.control import faults
+from oatport.control.agenda import Agenda
 from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
 from oatport.control.predictor import Predictor
 from oatport.control.records import DARK_KEY, Records, cancel_key, live_key
@@ -28,6 +29,7 @@
     limits: Team
     cpus: float = 0.0
     gpus: float = 0.0
+    rank_arrays: list[int] = field(default_factory=lambda: [0] * len(PRIORITIES))  # array tasks, by priority
 
     def room(self, spec: wire.Submission) -> int:
         """How many more tasks of a job the team's limit allows."""
@@ -70,7 +72,8 @@
                 self.finish_aims[aim.job_class] = (*self.finish_aims.get(aim.job_class, ()), within)
             if aim.kind == "deadline":
                 self.deadline_aims[aim.job_class] = (*self.deadline_aims.get(aim.job_class, ()), aim.times)
-        self.waiting: set[Job] = set()
+        self.waiting = Agenda()
+        self.moves = 0  # goes up when a task comes to a machine or leaves it
         self.released: set[str] = set()  # names that a release answered: gone for good
         self.teams = {team.name: TeamUse(team) for team in settings.teams}
         self.spent: defaultdict[str, float] = defaultdict(float)  # money by what machines did
@@ -102,6 +105,7 @@
             job = self.jobs[ref] = Job(ref, spec, version, submitted_at)
             job.once = self.repeats.get(spec.job_class, Repeat.ANY) is not Repeat.ANY and job.kind is not Kind.SERVICE
             self.versions[live_key(ref)] = version
+            job.hungry_since = self.now or 1
             self.waiting.add(job)
             self.replan = True
         return job
@@ -163,6 +167,8 @@
         if job.opened < 0 or job.cancelled or job.finishing:
             return
         job.opened = min(max(job.opened, job.fresh) + count, job.spec.tasks)
+        if job not in self.waiting:
+            job.hungry_since = self.now or 1
         self.waiting.add(job)
         self.replan = True
 
@@ -190,6 +196,7 @@
     def assign(self, task: Task, machine: Machine) -> None:
         job, spec = task.job, task.job.spec
         task.machine = machine
+        self.moves += 1
         machine.tasks.add(task)
         machine.take(spec.cpus, spec.gpus, spec.memory_gb)
         machine.rank_cpus[job.rank] += spec.cpus
@@ -202,12 +209,14 @@
         if use:
             use.cpus += spec.cpus
             use.gpus += spec.gpus
+            use.rank_arrays[job.rank] += job.kind is Kind.ARRAY
 
     def unassign(self, task: Task) -> None:
         """The task is on no machine: it never got there, or is proven gone."""
         job, spec, machine = task.job, task.job.spec, task.machine
         assert machine is not None
         machine.tasks.discard(task)
+        self.moves += 1
         machine.give(spec.cpus, spec.gpus, spec.memory_gb)
         machine.rank_cpus[job.rank] -= spec.cpus
         self.rank_tasks[job.rank] -= 1
@@ -223,6 +232,7 @@
         if use:
             use.cpus -= spec.cpus
             use.gpus -= spec.gpus
+            use.rank_arrays[job.rank] -= job.kind is Kind.ARRAY
         task.to_pending()
         self.replan = True
 
@@ -245,10 +255,14 @@
         if job.cancelled:
             self._clean_if_gone(job)
             return
-        self.waiting.add(job)
+        self._wait_again(job)
         if job.kind is Kind.GANG:
             self._gang_lost_task(job)
 
+    def _wait_again(self, job: Job) -> None:
+        job.hungry_since = job.hungry_since or self.now or 1
+        self.waiting.add(job)
+
     def lose(self, task: Task, cause: str) -> None:
         """A task may not run again, so the job ends as lost: the rest of it is stopped, then that is recorded.
 
@@ -285,7 +299,7 @@
         task.phase = Phase.CLAIMED
         task.claimed_at = now
         task.claim_session = machine.session
-        job.hungry_since = 0
+        job.hungry_since = now if job.pending else 0
         self.assign(task, machine)
         machine.images.setdefault(job.spec.image, now)
         machine.idle_since = 0
@@ -307,7 +321,7 @@
             if job.cancelled:
                 self._clean_if_gone(job)
             else:
-                self.waiting.add(job)
+                self._wait_again(job)
             return
         task.stopping = grace_s
         if task.machine is not None:
@@ -358,10 +372,19 @@
 
     def suited(self, job: Job) -> list[wire.MachineType]:
         """Those it is meant for: machines with GPUs are for work that needs them, or has no other place."""
-        types = self.allowed(job)
-        if job.spec.gpus > 0:
-            return types
-        return [kind for kind in types if kind.gpus == 0] or types
+        return self._suited(job)[1]
+
+    def suited_names(self, job: Job) -> tuple[str, ...]:
+        return self._suited(job)[2]
+
+    def _suited(self, job: Job) -> tuple[int, list[wire.MachineType], tuple[str, ...]]:
+        found = job.suited
+        if found is None or found[0] != self.types_seen:
+            types = self.allowed(job)
+            if job.spec.gpus <= 0:
+                types = [kind for kind in types if kind.gpus == 0] or types
+            found = job.suited = (self.types_seen, types, tuple(kind.name for kind in types))
+        return found
 
     def takes_free_spot(self, job: Job) -> bool:
         """Routed to spot; or long work that loses little there and is expected to start soon.
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -16,7 +16,7 @@
 from oatport.clients.peer import PeerClient
 from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
-from oatport.control.backlog import route_waiting
+from oatport.control.backlog import Backlog
 from oatport.control.cluster import Cluster
 from oatport.control.mandate import Mandate, Pulse
 from oatport.control.model import Job, Machine, Phase
@@ -245,7 +245,7 @@
     # --- placing and sending ------------------------------------------------------------------
 
     async def _plan_loop(self) -> None:
-        routed_at = 0
+        backlog = Backlog(self.cluster, self.keeper.fleet)
         while not self.over:
             try:
                 async with asyncio.timeout(0.5):
@@ -259,12 +259,10 @@
                 # preempted for it would be lost.
                 await asyncio.sleep(0.1)
                 continue
-            if now - routed_at > 400 * MS or any(not job.tier for job in self.cluster.waiting):
-                route_waiting(self.cluster, self.keeper.fleet, now, wall)
-                routed_at = now
-            if self.cluster.replan or now - routed_at < 5 * MS:
+            backlog.step(now, wall)
+            if self.placer.due(now):
                 self.placer.plan(now)
-            self.wake()
+                self.wake()
             # However much there is to plan, reports and renewals get most of the processor.
             took = steady() - now
             await asyncio.sleep(seconds(max(15 * MS, PLAN_REST * took)))
@@ -331,7 +329,6 @@
                 self.cluster.predictor.changed = False
                 self.cluster.dirty[MODEL_KEY] = None
                 recorded_at = now
-            self.cluster.replan = self.cluster.replan or bool(self.cluster.waiting)
             self.wake()
             if now - told_at > 10 * SECOND:
                 told_at = now
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -10,7 +10,7 @@
 
 from oatport.cli import main
 from oatport.clients.http import make_session
-from oatport.control.backlog import _pools_by_type, _work_ahead
+from oatport.control.backlog import Queues, _pools_by_type
 from oatport.control.model import Job
 from oatport.lab.windows import run
 from oatport.service.windowkeeper import KEY, WindowKeeper
@@ -331,7 +331,7 @@
 
     def wait() -> int:
         pools = _pools_by_type(world.cluster, world.now)
-        return _work_ahead(world.cluster, pools, [other])[other][0]
+        return Queues(world.cluster, pools).append(other)[0]
 
     before = wait()
     world.now += HOUR - 60 * SECOND
