Rentals, reports, counts and polls cost what changed

A report that tells nothing new ends after one comparison; counts shown to users and starts without an answer are kept up as they change; the status line scans nothing; polls of users share at most four questions a second at each node.

--- a/oatport/api/jobview.py
+++ b/oatport/api/jobview.py
@@ -20,6 +20,9 @@
 KNOWN_MOST = 20_000
 WITHIN = 800 * MS
 ROUNDS = 15  # gap between two refreshes: so many requests' worth of the state service's budget
+# And no shorter than this: users wait 2 s for a poll's answer, while twenty refreshes a second at each node were two
+# thirds of all requests on the state service, and a fifth of a calm day's cost.
+GAP_LEAST = 250 * MS
 
 Known = tuple[str, int, int]  # state, number of tasks, version
 
@@ -28,7 +31,7 @@
     def __init__(self, state: StateClient, slots: Slots, rps: float) -> None:
         self._state = state
         self._slots = slots
-        self._gap = round(ROUNDS * SECOND / rps)
+        self._gap = max(GAP_LEAST, round(ROUNDS * SECOND / rps))
         self._known: OrderedDict[str, Known] = OrderedDict()
         self._revision = 0  # all changes up to it are in
         self._forgets = 0  # how often something was forgotten
--- a/oatport/api/server.py
+++ b/oatport/api/server.py
@@ -48,10 +48,17 @@
         length = self._request.content_length
         if length is not None and length > self._limit:
             raise BodyTooLarge
+        content = self._request.content
+        if content.is_eof():
+            # All of it came along with the head, as nearly always: no timer, no wait.
+            body = content.read_nowait()
+            if len(body) > self._limit:
+                raise BodyTooLarge
+            return wire.loads(body)
         chunks: list[bytes] = []
         size = 0
         async with asyncio.timeout(BODY_DEADLINE_S):
-            async for chunk in self._request.content.iter_any():
+            async for chunk in content.iter_any():
                 size += len(chunk)
                 if size > self._limit:
                     raise BodyTooLarge
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from oatport import wire
 from oatport.control import faults
@@ -22,7 +23,22 @@
 DARK_LEAST = 3  # silent machines that make a zone a dark one
 
 
+@dataclass(slots=True)
+class Tally:
+    """Machines and waiting tasks as last counted (`Cluster.account`)."""
+
+    up: int = 0
+    up_spot: int = 0
+    down: int = 0
+    cpus: float = 0.0
+    free_owned: float = 0.0
+    free_spot: float = 0.0
+    waiting: dict[str, int] = field(default_factory=dict)  # tier -> tasks
+
+
 class Cluster(Work):
+    tally = Tally()
+
     # --- machines ---------------------------------------------------------------------------
 
     def idle_time(self, machine: Machine) -> int:
@@ -189,6 +205,8 @@
                 machine.taken_at = taken_at
                 self._on_notice(machine, report.notice_s, now)
             machine.taken_at = min(machine.taken_at, taken_at)
+        if machine.calm is not None and not new_session and machine.calm == report.tasks:
+            return machine  # what it runs is as it was told before, and as it should be
         listed = {(row.task, row.attempt): row for row in report.tasks}
         for task in list(machine.tasks):
             if task.phase is not Phase.PLACED:
@@ -203,12 +221,26 @@
             machine.idle_since = 0
         elif not machine.idle_since:
             machine.idle_since = now
+        machine.calm = report.tasks if self._is_calm(machine, len(report.tasks)) else None
         return machine
 
+    @staticmethod
+    def _is_calm(machine: Machine, listed: int) -> bool:
+        """The same report once more would change nothing: all that should be there is, and nothing else.
+
+        `Work` and `sent` take this back with whatever they change about the machine.
+        """
+        return (
+            not machine.strays and not machine.ended and not machine.unanswered and listed == len(machine.tasks)
+            and all(task.acked is not None and task.stopping is None and not task.job.suspect
+                    and not task.job.cancelled for task in machine.tasks)
+        )
+
     def _on_listed(
         self, task: Task, machine: Machine, row: wire.TaskReport, report: wire.Report, now: int
     ) -> None:
         task.acked = (report.session, report.seq)
+        self.unacked.discard(task)
         if row.status != wire.EXITED:
             if row.status != wire.FETCHING:
                 machine.images[task.job.spec.image] = 1  # it has it
@@ -217,8 +249,10 @@
                 if task.claimed_at:
                     log.debug("task %s %s runs on %s %d ms after its claim", task.name, task.job.kind, machine.name,
                               (now - task.claimed_at) // MS)
-            task.status = row.status
             job = task.job
+            if task.status != row.status:
+                task.status = row.status
+                self.stirred[job] = None
             if job.suspect and job.kind is Kind.SERVICE and faults.works(job, now):
                 faults.task_done(job, machine, self.machines, now)
             if task.job.cancelled and task.stopping is None:
@@ -322,14 +356,25 @@
             self.stop(task, grace)
 
     def account(self, now: int) -> None:
-        """Add up what the time since the last call cost, by what machines did (for the status line)."""
+        """Add up what the time since the last call cost, by what machines did, and count them (for the status line)."""
         hours = (now - self._accounted_at) / (3600 * SECOND) if self._accounted_at else 0.0
         self._accounted_at = now
+        tally = self.tally = Tally()
+        for job in self.waiting:
+            tally.waiting[job.tier or "?"] = tally.waiting.get(job.tier or "?", 0) + job.pending
         for machine in self.machines.values():
             kind, money = machine.type, machine.price * hours
             if not machine.up_at:
+                tally.down += 1
                 self.spent["boot"] += money
                 continue
+            tally.up += 1
+            tally.cpus += kind.cpus
+            if machine.spot:
+                tally.up_spot += 1
+                tally.free_spot += machine.free_cpus
+            else:
+                tally.free_owned += machine.free_cpus
             running = fetching = 0.0
             for task in machine.tasks:
                 spec = task.job.spec
@@ -403,6 +448,7 @@
         """Starts are about to go out under the machine's present session."""
         for task in starts:
             task.sent_session = machine.session
+            self.unacked.add(task)
             if direct:
                 key = (task.name, task.attempt)
                 machine.unanswered[key] = machine.unanswered.get(key, 0) + 1
--- a/oatport/control/faults.py
+++ b/oatport/control/faults.py
@@ -40,6 +40,9 @@
     if not job.suspect and not working and len(job.error_machines) >= SUSPECT_AFTER:
         log.info("job %s fails wherever it runs: a task at a time from now on", job.ref)
         job.suspect = became = True
+        for task in job.tasks.values():
+            if task.machine is not None:
+                task.machine.calm = None  # whether a replica of it settles is seen in reports that tell nothing new
         job.errors = 1
         for name in job.error_machines:
             acquit(machines.get(name), job)
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -266,6 +266,8 @@
     probing: bool = False
     probed_at: int = 0
     recorded: bool = False  # the fleet record holds it: tasks may be placed
+    # The tasks of its newest report, if the same ones once more would change nothing.
+    calm: list[wire.TaskReport] | None = None
     blocked_until: int = 0  # it refused a start for want of room: our view of it is off
     gone: bool = False
 
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -67,6 +67,7 @@
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.to_send: set[Machine] = set()  # machines with commands that should not wait for a report
+        self.unacked: set[Task] = set()  # placed by this leader, and not known to have reached their machines
         self.replan = True
         self.versions: dict[str, int] = {}  # of the leader's own keys, as known
         self.urgent: dict[str, int] = {}  # keys to write now: claims, with the rank of their job
@@ -218,6 +219,7 @@
             # A claim withdrawn and made anew meanwhile is not the one that was written.
             if task.phase is Phase.CLAIMED and task.attempt == attempt and task.machine is machine:
                 task.phase = Phase.PLACED
+                self.unacked.add(task)
                 self.to_send.add(machine)
                 if task.job.kind is Kind.GANG:
                     self.to_send.update(t.machine for t in task.job.tasks.values() if t.machine)
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -73,6 +73,7 @@
             if aim.kind == "deadline":
                 self.deadline_aims[aim.job_class] = (*self.deadline_aims.get(aim.job_class, ()), aim.times)
         self.waiting = Agenda()
+        self.stirred: dict[Job, None] = {}  # jobs whose counts, as users are shown them, may have changed
         self.moves = 0  # goes up when a task comes to a machine or leaves it
         self.released: set[str] = set()  # names that a release answered: gone for good
         self.teams = {team.name: TeamUse(team) for team in settings.teams}
@@ -183,6 +184,7 @@
 
     def drop_job(self, job: Job) -> None:
         self.jobs.pop(job.ref, None)
+        self.stirred.pop(job, None)
         self.waiting.discard(job)
         self.predictor.forget_job(job.ref)
         left = set(self.orphans)  # their versions are still needed
@@ -197,6 +199,7 @@
         job, spec = task.job, task.job.spec
         task.machine = machine
         self.moves += 1
+        machine.calm = None
         machine.tasks.add(task)
         machine.take(spec.cpus, spec.gpus, spec.memory_gb)
         machine.rank_cpus[job.rank] += spec.cpus
@@ -217,6 +220,9 @@
         assert machine is not None
         machine.tasks.discard(task)
         self.moves += 1
+        machine.calm = None
+        self.unacked.discard(task)
+        self.stirred[job] = None
         machine.give(spec.cpus, spec.gpus, spec.memory_gb)
         machine.rank_cpus[job.rank] -= spec.cpus
         self.rank_tasks[job.rank] -= 1
@@ -325,6 +331,7 @@
             return
         task.stopping = grace_s
         if task.machine is not None:
+            task.machine.calm = None
             self.to_send.add(task.machine)
 
     def finish_task(self, task: Task, now: int, *, measured: bool = True) -> None:
@@ -342,6 +349,7 @@
             self.unassign(task)
         job.tasks.pop(task.index, None)
         job.done.add(task.index)
+        self.stirred[job] = None
         self.touch(task)
         if job.cancelled:
             self._clean_if_gone(job)
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -49,17 +49,13 @@
         self.group.keep("silence", self.watcher.loop)
 
     def status(self, now: int) -> str:
-        """One line that says how things stand."""
-        machines = list(self.cluster.machines.values())
-        up = [m for m in machines if m.up_at]
-        tiers: dict[str, int] = {}
-        for job in self.cluster.waiting:
-            tiers[job.tier or "?"] = tiers.get(job.tier or "?", 0) + job.pending
+        """One line that says how things stand; all of it was counted on other occasions."""
+        fleet = self.cluster.tally
         return (
-            f"machines {len(up)} up ({sum(m.spot for m in up)} spot), {len(machines) - len(up)} not up; "
-            f"cpus {sum(m.type.cpus for m in up):.0f} of which free {sum(m.free_cpus for m in up if not m.spot):.0f} "
-            f"owned {sum(m.free_cpus for m in up if m.spot):.0f} spot; jobs {len(self.cluster.jobs)}; "
-            f"waiting tasks {tiers or 0}; threshold {seconds(self.cluster.router.threshold):.0f} s; "
+            f"machines {fleet.up} up ({fleet.up_spot} spot), {fleet.down} not up; "
+            f"cpus {fleet.cpus:.0f} of which free {fleet.free_owned:.0f} owned {fleet.free_spot:.0f} spot; "
+            f"jobs {len(self.cluster.jobs)}; waiting tasks {fleet.waiting or 0}; "
+            f"threshold {seconds(self.cluster.router.threshold):.0f} s; "
             f"rentals under way {len(self.fleet.under_way)}, "
             f"refused {sum(1 for until in self.fleet.refused.values() if until > now)}; spent "
             + " ".join(f"{what} {money:.2f}" for what, money in sorted(self.cluster.spent.items()))
@@ -92,6 +88,7 @@
                 catalog_at = now
                 self.group.once("catalog", self.catalog())
             if self._settled(now) and not self._helm.stalled(now):
+                self.cluster.find_usable(now)
                 # What waits is placed on reopened machines first: more than what they take was once rented.
                 reopened = self.fleet.mark_surplus(now) and not reopened
                 self.cluster.replan = self.cluster.replan or reopened
@@ -104,7 +101,7 @@
                     self._helm.wake()
                 # Few at a time: a queue of requests that the cloud will refuse holds up those it would
                 # fill, and by the time they get there nobody wants them.
-                rentals = [] if reopened else self.fleet.wanted(now)
+                rentals = self.fleet.wanted(now) if not reopened and self.fleet.due(now) else []
                 for rental in rentals[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self.rent(rental))
@@ -149,7 +146,7 @@
             if names is None:
                 return
             if len(names) < rental.count:
-                self.fleet.refuse(rental, steady())
+                self.fleet.refuse(rental, steady(), some=bool(names))
             else:
                 self.fleet.grant(rental, steady())
             log.info("rented %d %s in %s (spot %s)", len(names), rental.type, rental.zone, rental.spot)
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -19,7 +19,7 @@
 from oatport.control.backlog import Backlog
 from oatport.control.cluster import Cluster
 from oatport.control.mandate import Mandate, Pulse
-from oatport.control.model import Job, Machine, Phase
+from oatport.control.model import Job, Machine
 from oatport.control.placer import Placer
 from oatport.control.predictor import Predictor
 from oatport.control.records import JOBS, MODEL_KEY
@@ -40,6 +40,7 @@
 log = logging.getLogger(__name__)
 
 WATCH_WAIT = 1_000 * MS
+ACCOUNT_EVERY = 5 * SECOND
 PLAN_REST = 3  # times as long as a planning pass took, until the next
 
 
@@ -79,7 +80,6 @@
         self._sending: set[Machine] = set()
         self._early: list[tuple[str, str, Any, int]] = []  # told before the records were loaded
         self._watch_from = 0
-        self._last_display: dict[str, tuple[int, int]] = {}
 
     # --- lifecycle --------------------------------------------------------------------------
 
@@ -314,17 +314,16 @@
 
     async def _tick_loop(self) -> None:
         """Repeat what went unanswered, and learn."""
-        recorded_at = told_at = steady()
+        recorded_at = told_at = accounted_at = steady()
         while not self.over:
             await asyncio.sleep(0.5)
             now = self.now()
-            self.cluster.account(now)
-            for machine in self.cluster.machines.values():
-                for task in machine.tasks:
-                    if task.phase is Phase.PLACED and task.acked is None and task.claimed_at:
-                        if task.repeat_start_at <= now:
-                            self.cluster.to_send.add(machine)
-                            break
+            if now - accounted_at > ACCOUNT_EVERY:
+                accounted_at = now
+                self.cluster.account(now)
+            for task in self.cluster.unacked:
+                if task.acked is None and task.machine is not None and task.repeat_start_at <= now:
+                    self.cluster.to_send.add(task.machine)
             if now - recorded_at > 15 * SECOND and self.cluster.predictor.changed:
                 self.cluster.predictor.changed = False
                 self.cluster.dirty[MODEL_KEY] = None
@@ -339,18 +338,24 @@
     async def _display_loop(self) -> None:
         """Tell all nodes the counts that users are shown."""
         rounds = 0
+        counts = self.home.display
+        counts.clear()
         while not self.over:
             await asyncio.sleep(1.0)
             rounds += 1
-            counts = {ref: self._count(job) for ref, job in self.cluster.jobs.items()}
+            jobs = self.cluster.jobs
             everything = rounds % 10 == 0  # a node that was started meanwhile knows none
-            changed = {
-                ref: list(c) for ref, c in counts.items() if everything or self._last_display.get(ref) != c
-            }
-            ended = [ref for ref in self._last_display if ref not in counts]
-            self._last_display = counts
-            self.home.display.clear()
-            self.home.display.update(counts)
+            stirred = list(self.cluster.stirred)
+            self.cluster.stirred.clear()
+            changed: dict[str, list[int]] = {}
+            for job in jobs.values() if everything else stirred:
+                count = self._count(job)
+                if job.ref in jobs and (everything or counts.get(job.ref) != count):
+                    counts[job.ref] = count
+                    changed[job.ref] = list(count)
+            ended = [ref for ref in counts if ref not in jobs]
+            for ref in ended:
+                del counts[ref]
             if changed or ended:
                 for peer in self.home.peers.values():
                     self.group.once("display", _tell(peer, "display", changed, ended))
