--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -15,8 +15,10 @@
 from oatport.times import MS, SECOND, micros
 
 ROUTE_EVERY = 400 * MS
-ROUTE_LATEST = 2 * SECOND  # also when nothing has changed: deadlines come nearer all the same
-ROUTE_AT_ONCE = 2000  # waiting jobs and running tasks, beyond which routing is paced by their number
+ROUTE_MOST = 2 * SECOND
+ROUTE_LATEST = 4 * SECOND  # also when nothing has changed: deadlines come nearer all the same
+# What is looked at in a second, at most, in running tasks; a waiting job counts as many of them.
+LOOKED_AT, A_JOB = 15_000, 15
 LEARN_EVERY = 2 * SECOND
 
 
@@ -93,7 +95,8 @@
     """What is lost anyway is not worth a dearer machine: the first deadline that it could meet if it ran now."""
     job.due, job.late = times[0] if times else job.submitted_at + NO_DEADLINE, job.suspect
     if times and not job.suspect:
-        job.target = next((due for due in times if due >= wall + run), wall + NO_DEADLINE)
+        job.target = times[0] if times[0] >= wall + run else next(
+            (due for due in times if due >= wall + run), wall + NO_DEADLINE)
 
 
 def mark_late(cluster: Cluster, by_type: dict[str, _Pool], wall: int) -> None:
@@ -106,28 +109,28 @@
     queues: dict[tuple[int, tuple[str, ...]], list[tuple[Job, list[int]]]] = {}
     for job in cluster.waiting:
         times = dues(cluster, job)
-        _set_target(job, times, cluster.predictor.run_time(job.ref, job.spec), wall)
+        job.run = cluster.predictor.run_time(job.ref, job.spec)
+        _set_target(job, times, job.run, wall)
         if times and not job.suspect:
             queues.setdefault((job.rank, cluster.suited_names(job)), []).append((job, times))
     for (_, suited), jobs in queues.items():
         pool = _pool(by_type, suited)
         left = jobs if pool.total > 0 else []
         while left:
-            left = [(job, times[1:]) for job, times in _take_by_deadline(cluster, pool, left, wall)]
+            left = [(job, times[1:]) for job, times in _take_by_deadline(pool, left, wall)]
             for job, times in left:
                 job.late = not times
             left = [(job, times) for job, times in left if times]
 
 
 def _take_by_deadline(
-    cluster: Cluster, pool: _Pool, jobs: list[tuple[Job, list[int]]], wall: int
+    pool: _Pool, jobs: list[tuple[Job, list[int]]], wall: int
 ) -> list[tuple[Job, list[int]]]:
     """Take jobs into the pool's work by the first of their deadlines; those that can't meet it."""
     missed: list[tuple[Job, list[int]]] = []
     taken: list[tuple[float, str, Job, list[int]]] = []
     for job, times in sorted(jobs, key=lambda item: (item[1][0], item[0].ref)):
-        job.due = times[0]
-        run = cluster.predictor.run_time(job.ref, job.spec)
+        job.due, run = times[0], job.run
         if wall + run > job.due:
             missed.append((job, times))
             continue
@@ -183,8 +186,7 @@
         return queue
 
     def _work(self, job: Job) -> float:
-        tasks = 1 if job.suspect else job.pending
-        return self._cluster.predictor.run_time(job.ref, job.spec) * job.spec.cpus * tasks
+        return job.run * job.spec.cpus * (1 if job.suspect else job.pending)
 
     def append(self, job: Job) -> tuple[int, int | None]:
         """The wait of the next job in order."""
@@ -264,8 +266,8 @@
 
     def pace(self) -> int:
         """How long until all waiting work is routed again, if something has changed meanwhile."""
-        size = len(self._cluster.waiting) + sum(self._cluster.rank_tasks)
-        return min(ROUTE_LATEST, max(ROUTE_EVERY, ROUTE_EVERY * size // ROUTE_AT_ONCE))
+        size = A_JOB * len(self._cluster.waiting) + sum(self._cluster.rank_tasks)
+        return min(ROUTE_MOST, max(ROUTE_EVERY, size * SECOND // LOOKED_AT))
 
     def step(self, now: int, wall: int) -> None:
         cluster = self._cluster
@@ -300,7 +302,8 @@
         mark_guaranteed(cluster)
         rentable = _Rentable(cluster, self._fleet, now)
         for job in list(cluster.waiting.unrouted):
-            _set_target(job, dues(cluster, job), cluster.predictor.run_time(job.ref, job.spec), wall)
+            job.run = cluster.predictor.run_time(job.ref, job.spec)
+            _set_target(job, dues(cluster, job), job.run, wall)
             self._route(job, self._queues.among(job), rentable, wall)
             cluster.waiting.moved(job)
         cluster.waiting.unrouted.clear()
@@ -308,7 +311,7 @@
     def _route(self, job: Job, wait: tuple[int, int | None], rentable: _Rentable, wall: int) -> None:
         cluster = self._cluster
         over_all, over_owned = wait
-        job.run_step = cluster.predictor.run_time(job.ref, job.spec) // RUN_STEP
+        job.run_step = job.run // RUN_STEP
         tier = cluster.router.route(job, wall, over_owned, rentable(job, True), rentable(job, False), over_all)
         if tier != job.tier:
             job.tier = tier
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -30,6 +30,10 @@
     PLACED = 2  # committed: on its machine until proven gone
 
 
+def _digits(name: str) -> int:
+    return int("".join(c for c in name if c.isdigit()) or 0)
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """A task that was touched and is not done. Untouched and done ones are just numbers in their job."""
@@ -53,6 +57,10 @@
     claim_session: int = 0  # the worker's session when it was claimed (recorded for classes that limit repeats)
     spent: bool = False  # it may not run again
 
+    def __hash__(self) -> int:
+        """The same in every run, so that sets of them are gone through in the same order."""
+        return self.job.number * 131_071 + self.index
+
     @property
     def name(self) -> str:
         return f"{self.job.ref}/{self.index}"
@@ -125,16 +133,23 @@
     guaranteed: bool = False  # it fits its team's guarantee together with the team's earlier jobs
     hungry_since: int = 0  # steady; when it last began to wait without getting a machine
     preempt_after: int = 0  # steady; one round of preemption at a time
-    run_step: int = 0  # its predicted run time in steps, as of the last routing
+    run: int = 0  # its predicted run time as of the last routing
+    run_step: int = 0  # the same in steps
     place: object = None  # where it stands among the waiting (`control/agenda.py`)
     dues: list[int] | None = None  # times of day by which its end is looked for: they never change
     # Machine types that can run it, the names of those that suit it, and the catalog that they were found in.
     allowed: tuple[int, list[wire.MachineType]] | None = None
     suited: tuple[int, list[wire.MachineType], tuple[str, ...]] | None = None
 
+    number: int = 0  # the digits of its id
+
     def __post_init__(self) -> None:
         self.kind = Kind(self.spec.kind)
         self.rank = PRIORITIES[self.spec.priority]
+        self.number = _digits(self.ref)
+
+    def __hash__(self) -> int:
+        return self.number
 
     @property
     def pending(self) -> int:
@@ -274,7 +289,10 @@
     def __post_init__(self) -> None:
         self.free_cpus, self.free_gpus = self.type.cpus, self.type.gpus
         self.free_memory = self.type.memory_gb
-        self.number = int("".join(c for c in self.name if c.isdigit()) or 0)
+        self.number = _digits(self.name)
+
+    def __hash__(self) -> int:
+        return self.number
 
     def holds(self, spec: wire.Submission) -> bool:
         """Empty, it would have room for one task."""
--- a/oatport/control/rentals.py
+++ b/oatport/control/rentals.py
@@ -20,7 +20,7 @@
 REFUSED_GROWS = 1.25  # what was refused again and again is asked for less often
 GRANTED_FOR = 30 * SECOND
 RENT_EVERY = 300 * MS
-RENT_LATEST = 2 * SECOND  # also when nothing has changed: running work ends, machines are overdue
+RENT_LATEST = 4 * SECOND  # also when nothing has changed: running work ends, machines are overdue
 RENT_AT_ONCE = 400  # waiting jobs beyond which rentals are reckoned at a pace that falls with their number
 
 
@@ -80,7 +80,7 @@
 
     def pace(self) -> int:
         """How long until rentals are reckoned again, if something has changed meanwhile."""
-        return min(RENT_LATEST, max(RENT_EVERY, RENT_EVERY * len(self.cluster.waiting) // RENT_AT_ONCE))
+        return min(RENT_LATEST // 2, max(RENT_EVERY, RENT_EVERY * len(self.cluster.waiting) // RENT_AT_ONCE))
 
     def due(self, now: int) -> bool:
         """Is it time to reckon rentals?"""
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -89,9 +89,11 @@
                 self.group.once("catalog", self.catalog())
             if self._settled(now) and not self._helm.stalled(now):
                 self.cluster.find_usable(now)
-                # What waits is placed on reopened machines first: more than what they take was once rented.
-                reopened = self.fleet.mark_surplus(now) and not reopened
-                self.cluster.replan = self.cluster.replan or reopened
+                due = self.fleet.due(now)
+                if due:
+                    # What waits is placed on reopened machines first: more than what they take was once rented.
+                    reopened = self.fleet.mark_surplus(now) and not reopened
+                    self.cluster.replan = self.cluster.replan or reopened
                 if now - moved_at > SECOND:
                     replicas = sum(j.on_machines for j in self.cluster.jobs.values() if j.kind is Kind.SERVICE)
                     self.cluster.replica_us += replicas * (now - moved_at) if moved_at else 0
@@ -101,7 +103,7 @@
                     self._helm.wake()
                 # Few at a time: a queue of requests that the cloud will refuse holds up those it would
                 # fill, and by the time they get there nobody wants them.
-                rentals = self.fleet.wanted(now) if not reopened and self.fleet.due(now) else []
+                rentals = self.fleet.wanted(now) if due and not reopened else []
                 for rental in rentals[: max(0, RENTALS_AT_ONCE - len(self.fleet.under_way))]:
                     self.fleet.under_way.append(rental)
                     self.group.once("rent", self.rent(rental))
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -1,22 +1,27 @@
 """How much work grows with the size: counted on the in-memory world, never timed.
 
-    python -m tests.scale [MACHINES ...]      a table for docs/measurements.md
+    python -m tests.scale [MACHINES ...] [--waiting TASKS ...] [--on MACHINES]      tables for docs/measurements.md
 
 Counted are calls of functions (Python's and built-in), changes of the state service, bytes of records and bytes held
-by the leader's view. A swarm, a huge array and a takeover come in the middle of each.
+by the leader's view. A swarm, a huge array and a takeover come in the middle of each. With `--waiting`, all machines
+are full and so many tasks wait: what ten seconds of the leader's loops call while nothing changes, while work ends,
+and while jobs come.
 """
 
 from __future__ import annotations
 
+import argparse
 import sys
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import pairwise
+from itertools import count, pairwise
 from typing import Any
 
 from oatport import wire
+from oatport.control.backlog import Backlog, route_waiting
 from oatport.settings import Team
+from oatport.times import SECOND
 from tests.world import World
 
 
@@ -86,7 +91,6 @@
         world.report(worker)
     world.commit()
     found.tasks = sum(job.on_machines for job in world.cluster.jobs.values())
-    from oatport.control.backlog import route_waiting
     found.route = calls(lambda: route_waiting(world.cluster, world.fleet, world.now, world.now))
     found.plan = calls(lambda: world.placer.plan(world.now))
     world.commit()
@@ -114,14 +118,120 @@
     return found
 
 
-def main() -> None:
-    sizes = [int(text) for text in sys.argv[1:]] or [75, 150, 300]
-    rows = [measure(size) for size in sizes]
-    for name in Counts.__dataclass_fields__:
+@dataclass
+class Rush:
+    """What ten seconds call with so many tasks waiting on full machines."""
+
+    waiting: int
+    quiet: int = 0  # nothing changes
+    steps: int = 0  # times that the planning loop looked around in them
+    longest: int = 0  # the dearest of those looks: what a claim, a report or a renewal may have to wait for
+    ends: int = 0  # ten tasks end each second
+    claims: int = 0  # and so many were claimed for that
+    comes: int = 0  # a job comes each second, and no machine has room
+    reports: int = 0  # all machines' reports once, which tell nothing new
+    held: int = 0  # bytes, by the leader's view
+
+
+def rush(machines: int, tasks: int) -> Rush:
+    found = Rush(tasks)
+    world = World([Team("crew")])
+    for number in range(1, machines + 1):
+        world.machine(number, "ab"[number % 2], spot=number % 4 == 3)
+    world.step()
+    world.step(1.0)
+    refs = count(1)
+
+    def submit(**changes: Any) -> None:
+        number = next(refs)
+        world.submit(ref=f"j-{number:06d}", hull=f"img-{number % 10}", **changes)
+
+    for _ in range(machines * 3 // 10):
+        submit(rig="standing", legs=4, cores=2.0, urgency="production", driftwood=False, spread=True, cargo="serve")
+    for _ in range(3):
+        world.step(2.0)
+    room = sum(int(m.free_cpus // 4) for m in world.cluster.machines.values())
+    for _ in range(room // 10):
+        submit(legs=10, voyageS=3000.0, cargo="long", memoryGb=1.0)
+    submit(legs=max(1, room % 10), voyageS=3000.0, cargo="long", memoryGb=1.0)
+    for _ in range(3):
+        world.step(2.0)
+    for sort in [(kind, zone, spot) for kind in world.cluster.types for zone in "ab" for spot in (False, True)]:
+        world.fleet.refused[sort] = world.now + 3600 * SECOND
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(tasks // 12):
+        submit(legs=12, voyageS=50.0 + number % 7, tideS=120.0 + 10 * (number % 50), cargo="van")
+    backlog, cluster = Backlog(world.cluster, world.fleet), world.cluster
+    world.plan()
+    found.held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+
+    def look() -> None:
+        """As the leader's loops do (`service/lead.py`, `service/fleetkeeper.py`)."""
+        backlog.step(world.now, world.now)
+        if world.placer.due(world.now):
+            world.placer.plan(world.now)
+
+    def rent() -> None:
+        cluster.find_usable(world.now)
+        if world.fleet.due(world.now):
+            world.fleet.mark_surplus(world.now)
+            world.fleet.wanted(world.now)
+        world.fleet.to_release(world.now)
+
+    def ten_seconds(each_second: Callable[[], None]) -> int:
+        total = 0
+        for step in range(100):
+            world.now += SECOND // 10
+            for machine in cluster.machines.values():
+                machine.heard_at = world.now
+            if step % 10 == 5:
+                each_second()
+            looked = calls(look)
+            found.steps += 1
+            found.longest = max(found.longest, looked)
+            total += looked + (calls(rent) if step % 3 == 0 else 0)
+        return total
+
+    def ends() -> None:
+        running = [t for m in cluster.machines.values() for t in m.tasks if t.job.spec.job_class == "long"]
+        for task in running[:10]:
+            cluster.finish_task(task, world.now, measured=False)
+
+    ten_seconds(lambda: None)  # machines and routes settle
+    found.longest = found.steps = 0
+    found.quiet = ten_seconds(lambda: None)
+    found.comes = ten_seconds(lambda: submit(legs=12, voyageS=50.0, tideS=300.0, cargo="van"))
+    on_machines = sum(cluster.rank_tasks)
+    found.ends = ten_seconds(ends)
+    found.claims = sum(cluster.rank_tasks) - on_machines + 100
+    world.commit()
+    world.send()
+    world.settle(3)
+    reports = [wire.report(worker.report()) for worker in world.workers.values()]
+    found.reports = calls(lambda: [cluster.on_report(r, world.now, world.now) for r in reports])
+    return found
+
+
+def table(rows: list[Any], names: list[str]) -> None:
+    for name in names:
         values = [getattr(row, name) for row in rows]
         growth = [f"x{b / a:.2f}" if a else "-" for a, b in pairwise(values)]
         print(f"| {name} | " + " | ".join(f"{value:,}" for value in values) + " | " + ", ".join(growth) + " |")
 
 
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="python -m tests.scale", description=__doc__.splitlines()[0])
+    parser.add_argument("machines", nargs="*", type=int)
+    parser.add_argument("--waiting", nargs="+", type=int, help="tasks that wait on full machines")
+    parser.add_argument("--on", type=int, default=430, help="how many machines those are")
+    asked = parser.parse_args()
+    if asked.waiting:
+        table([rush(asked.on, tasks) for tasks in asked.waiting], list(Rush.__dataclass_fields__))
+    else:
+        table([measure(size) for size in asked.machines or [75, 150, 300]], list(Counts.__dataclass_fields__))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/tests/test_rush.py
@@ -0,0 +1,322 @@
+"""A rush: thousands of tasks wait while all machines are full. What that may cost, and that no decision changes."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.control import agenda
+from oatport.control.agenda import Agenda, order_key
+from oatport.control.backlog import ROUTE_EVERY, ROUTE_MOST, Backlog
+from oatport.control.model import Job, Machine
+from oatport.control.rentals import PLANNED_MOST, REFUSED_MOST, REFUSED_PAUSE, Rental
+from oatport.control.rooms import Room, Rooms
+from oatport.settings import Team
+from oatport.times import SECOND
+from tests.scale import calls, rush
+from tests.world import TYPES, World, job
+
+
+def spec(**changes: Any) -> wire.Submission:
+    return wire.submission(job(**changes))
+
+
+def waiting(number: int, **changes: Any) -> Job:
+    return Job(f"j-{number:06d}", spec(ref=f"j-{number:06d}", **changes), 1, number * SECOND)
+
+
+def day(seed: int) -> list[tuple[str, str]]:
+    """What ran where on a drawn day of arrays, services, gangs and guests, with ends, faults and lost machines."""
+    rng = random.Random(seed)
+    world = World([Team("crew", cpus=40.0), Team("other", cpus_max=24.0)])
+    for number in range(1, 13):
+        world.machine(number, "ab"[number % 2], spot=number % 3 == 0, kind="g16" if number % 6 == 0 else "m8")
+    world.step()
+    started: list[tuple[str, str]] = []
+    seen: set[tuple[str, str]] = set()
+    for step in range(30):
+        for _ in range(rng.randrange(3)):
+            number = 1000 + step * 10 + rng.randrange(10)
+            sort = rng.choice(["array", "array", "array", "service", "gang", "guest"])
+            changes: dict[str, Any] = {
+                "array": {"legs": rng.randrange(1, 9), "voyageS": rng.choice([20.0, 90.0]), "tideS": 60.0 * step},
+                "service": {"rig": "standing", "legs": 3, "cores": 2.0, "urgency": "production", "spread": True},
+                "gang": {"rig": "gang", "legs": 2, "accelerators": 2.0, "cores": 6.0, "urgency": "high"},
+                "guest": {"legs": 20, "cores": 1.0, "urgency": "idle"},
+            }[sort]
+            ref = f"j-{number:06d}"
+            if ref not in world.cluster.jobs:
+                world.submit(ref=ref, crew=rng.choice(["crew", "other"]), cargo=sort, **changes)
+        world.step(rng.choice([0.5, 2.0, 5.0]))
+        if step == 12:
+            name = sorted(world.workers)[rng.randrange(len(world.workers))]
+            world.released(name)
+        now = {(worker.name, f"{task}/{attempt}") for worker in world.workers.values()
+               for task, attempt in worker.starts}
+        started += sorted(now - seen)
+        seen |= now
+    return started
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lines_place_what_a_look_at_every_job_would_place(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leaving a line early saves looks and changes no placement: the same day with all jobs looked at one by one."""
+    by_lines = day(seed)
+    monkeypatch.setattr(agenda, "plain", lambda job: False)
+    assert day(seed) == by_lines
+    assert len(by_lines) > 50
+
+
+def test_the_agenda_walks_in_order_while_jobs_come_and_go() -> None:
+    rng = random.Random(7)
+    found = Agenda()
+    jobs = [waiting(n, tideS=float(rng.randrange(60, 600)), urgency=rng.choice(["normal", "high", "idle"]))
+            for n in range(1, 200)]
+    for one in jobs[:150]:
+        found.add(one)
+    assert [one for _, one in found.walk()] == sorted(jobs[:150], key=order_key)
+    for one in jobs[150:]:
+        found.add(one)
+    for one in jobs[:40]:
+        found.discard(one)
+    jobs[60].due = 1  # most pressing now
+    found.moved(jobs[60])
+    assert [one for _, one in found.walk()] == sorted(jobs[40:], key=order_key)
+    walked = []
+    for _, one in found.walk():
+        walked.append(one)
+        found.discard(jobs[100])  # taken by an earlier one's step: it does not come any more
+    assert jobs[100] not in walked[1:]
+    assert found.smallest() == 4.0
+
+
+def test_nothing_is_looked_at_while_nothing_changes() -> None:
+    """Counted: a look at ten thousand waiting tasks costs what one at none does."""
+
+    def look(tasks: int) -> int:
+        world = World([Team("crew")])
+        for number in range(1, 21):
+            world.machine(number)
+        world.step()
+        for _ in range(10):
+            world.submit(legs=4, voyageS=3000.0)
+        world.settle()
+        for number in range(tasks // 20):
+            world.submit(ref=f"j-{500000 + number:06d}", legs=20, voyageS=100.0)
+        backlog = Backlog(world.cluster, world.fleet)
+        backlog.step(world.now, world.now)
+        world.placer.plan(world.now)
+        world.now += SECOND // 10
+        assert not world.placer.due(world.now)
+        return calls(lambda: (backlog.step(world.now, world.now), world.placer.due(world.now)))
+
+    assert look(10_000) <= 2 * look(0)
+
+
+def test_a_rush_ten_times_as_large_costs_at_most_ten_times_as_much() -> None:
+    small, large = rush(60, 300), rush(60, 3000)
+    assert small.claims == large.claims == 100  # all the room that came free was taken
+    for name in ("quiet", "ends", "comes", "longest"):
+        assert getattr(large, name) < 10 * getattr(small, name), name
+    assert large.reports == small.reports < 10 * 60  # what tells nothing new costs the same however much waits
+
+
+def test_room_that_comes_free_is_looked_at_though_nothing_else_changed() -> None:
+    world = World()
+    worker = world.machine(1)
+    world.step()
+    first = world.submit(legs=2, voyageS=100.0)
+    world.settle()
+    second = world.submit(legs=1)
+    world.plan()
+    assert not world.placer.due(world.now)
+    worker.tasks[(f"{first}/0", 1)].ends_at = world.now
+    world.report(worker)
+    assert world.placer.due(world.now)
+    world.step()
+    assert (f"{second}/0", 1) in worker.starts
+
+
+def test_times_that_a_pass_noted_bring_the_next_one() -> None:
+    """A refused start keeps a machine from more for three seconds; a job backs off: no event ends that."""
+    world = World()
+    world.machine(1)
+    world.step()
+    ref = world.submit(legs=1)
+    world.cluster.machines["vm-000001"].blocked_until = world.now + 3 * SECOND
+    world.plan()
+    assert not world.placer.due(world.now + SECOND)
+    assert world.placer.due(world.now + 3 * SECOND)
+    world.cluster.machines["vm-000001"].blocked_until = 0
+    world.cluster.jobs[ref].not_before = world.now + SECOND // 2
+    world.plan()
+    assert not world.placer.due(world.now + SECOND // 4)
+    assert world.placer.due(world.now + SECOND // 2)
+
+
+def test_a_team_at_its_limit_is_not_searched_for_work_that_it_does_not_run() -> None:
+    """Each of its waiting jobs went through all that the team ran, twice a second."""
+    world = World([Team("crew", cpus_max=8.0)])
+    for number in range(1, 6):
+        world.machine(number)
+    world.step()
+    world.submit(legs=2, voyageS=500.0)
+    world.settle()
+    for _ in range(50):
+        world.submit(legs=4)
+    world.plan()
+    assert all(not waits.preempt_after for waits in world.cluster.waiting)
+    service = world.submit(rig="standing", legs=1, urgency="production")
+    world.settle()
+    assert len(world.live(service)) == 1  # which it would make room for
+
+
+def test_a_job_that_comes_between_is_routed_by_its_place_in_the_queue() -> None:
+    world = World([Team("crew")])
+    world.machine(1)
+    world.step()
+    for number in range(20):
+        world.submit(legs=8, voyageS=60.0, tideS=3000.0 + number)
+    backlog = Backlog(world.cluster, world.fleet)
+    backlog.step(world.now, world.now)
+    routed = {one.ref: one.tier for one in world.cluster.waiting}
+    pressing = world.cluster.jobs[world.submit(legs=1, voyageS=10.0, tideS=60.0)]
+    counted = calls(lambda: backlog.step(world.now, world.now))
+    assert pressing.tier
+    assert counted < 150  # the others were not looked at
+    assert {one.ref: one.tier for one in world.cluster.waiting if one is not pressing} == routed
+    assert next(one for _, one in world.cluster.waiting.walk()) is pressing
+
+
+def test_routing_slows_down_with_what_there_is_to_route() -> None:
+    world = World([Team("crew")])
+    backlog = Backlog(world.cluster, world.fleet)
+    assert backlog.pace() == ROUTE_EVERY
+    for number in range(800):
+        world.cluster.waiting.add(waiting(number + 1))
+    assert ROUTE_EVERY < backlog.pace() < ROUTE_MOST
+    for number in range(800, 5000):
+        world.cluster.waiting.add(waiting(number + 1))
+    assert backlog.pace() == ROUTE_MOST
+
+
+def test_coming_room_is_found_in_order_and_looked_at_once_a_shape() -> None:
+    rng = random.Random(3)
+    rooms, plain = Rooms(), []
+    for number in range(200):
+        kind = TYPES[rng.choice(["m8", "g16"])]
+        zone, on_spot = "ab"[number % 2], rng.random() < 0.5
+        rooms.add(Room.of(kind, zone, on_spot))
+        plain.append(Room.of(kind, zone, on_spot))
+    wants = [(spec(cores=rng.choice([1.0, 4.0, 12.0])), rng.random() < 0.5) for _ in range(300)]
+    for want, on_spot in wants:
+        found = rooms.first(want, on_spot, ("m8", "g16"), ["a", "b"])
+        expected = next((r for r in plain if (on_spot or not r.spot) and r.holds(want) > 0), None)
+        assert (found is None) == (expected is None)
+        if found is not None and expected is not None:
+            assert plain[found.place] is expected
+            assert found.take(want, 1) == expected.take(want, 1) == 1
+    assert rooms.looked_at < 2 * len(wants) + 6 * len(plain)  # and not one times the other
+
+
+def test_no_more_is_planned_than_is_asked_for() -> None:
+    world = World([Team("crew")])
+    for _ in range(40):
+        world.submit(legs=100, voyageS=20.0)
+    world.plan()
+    rentals = world.fleet.wanted(world.now)
+    assert PLANNED_MOST <= sum(rental.count for rental in rentals) < PLANNED_MOST + 60
+    assert not world.fleet.due(world.now + SECOND // 10)
+
+
+def test_what_is_refused_again_and_again_is_asked_for_less_often() -> None:
+    world = World()
+    rental = Rental("m8", "a", True, 5)
+    pauses = []
+    for _ in range(6):
+        world.fleet.refuse(rental, world.now)
+        pauses.append(world.fleet.refused["m8", "a", True] - world.now)
+    assert pauses[0] == REFUSED_PAUSE
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == REFUSED_MOST
+    world.fleet.refuse(rental, world.now, some=True)  # some came: there may be more soon
+    assert world.fleet.refused["m8", "a", True] - world.now == REFUSED_PAUSE
+    world.fleet.refuse(rental, world.now)
+    world.fleet.grant(rental, world.now)
+    world.fleet.refuse(rental, world.now)
+    assert world.fleet.refused["m8", "a", True] - world.now == REFUSED_PAUSE
+
+
+# --- reports that tell nothing new ----------------------------------------------------------------
+
+
+def calm_world(**changes: Any) -> tuple[World, Machine, str]:
+    world = World()
+    world.machine(1)
+    world.machine(2)
+    ref = world.submit(**{"legs": 1, "cores": 8.0, "voyageS": 500.0, **changes})
+    world.settle()
+    (place,) = world.live(ref)[f"{ref}/0"]
+    machine = world.cluster.machines[place]
+    assert machine.calm
+    return world, machine, ref
+
+
+def test_a_report_that_tells_nothing_new_costs_one_comparison() -> None:
+    world, machine, _ = calm_world()
+    report = wire.report(world.workers[machine.name].report())
+    world.now += SECOND
+    assert calls(lambda: world.cluster.on_report(report, world.now, world.now)) < 10
+    assert machine.heard_at == world.now
+
+
+def test_a_task_that_is_missing_from_a_calm_machine_is_seen() -> None:
+    world, machine, ref = calm_world()
+    del world.workers[machine.name].tasks[(f"{ref}/0", 1)]
+    world.settle()
+    assert [attempt for worker in world.workers.values() for _, attempt in worker.starts] == [1, 2]
+
+
+def test_a_stray_on_a_calm_machine_is_seen() -> None:
+    """A start of an earlier leader's that arrives late."""
+    world, machine, _ = calm_world(cores=4.0)
+    other = world.submit(legs=1, cores=1.0, berthKinds=["g16"], sizeGb=0.0)
+    world.workers[machine.name].commands(
+        wire.commands_body(world.cluster.token, machine.session, [wire.start(f"{other}/0", 7)]))
+    report = wire.report(world.workers[machine.name].report())
+    world.cluster.on_report(report, world.now, world.now)
+    assert (f"{other}/0", 7) in machine.strays
+
+
+def test_a_cancelled_task_on_a_calm_machine_is_stopped() -> None:
+    world, _, ref = calm_world()
+    world.cancel(ref)
+    world.settle()
+    assert world.live(ref) == {}
+
+
+def test_a_lost_session_of_a_calm_machine_is_seen() -> None:
+    world, machine, ref = calm_world()
+    world.workers[machine.name].answered_at = world.now - 60 * SECOND
+    world.settle()
+    assert sum(len(worker.starts) for worker in world.workers.values()) == 2
+    assert len(world.live(ref)) == 1
+
+
+def test_a_start_that_never_went_out_is_seen_to() -> None:
+    """Beyond so many machines at a time, commands wait: a start was once left to the next look at all tasks."""
+    world = World()
+    world.machine(1)
+    world.step()
+    world.step()
+    ref = world.submit(legs=1)
+    world.plan()
+    world.commit()
+    world.cluster.to_send.clear()
+    task = world.cluster.jobs[ref].tasks[0]
+    assert task in world.cluster.unacked
+    world.step()
+    assert task not in world.cluster.unacked
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -331,6 +331,7 @@
 
     def wait() -> int:
         pools = _pools_by_type(world.cluster, world.now)
+        other.run = world.cluster.predictor.run_time(other.ref, other.spec)
         return Queues(world.cluster, pools).append(other)[0]
 
     before = wait()
--- a/tests/world.py
+++ b/tests/world.py
@@ -164,7 +164,7 @@
     # --- users and machines -----------------------------------------------------------------------
 
     def submit(self, **changes: Any) -> str:
-        body = job(**changes)
+        body = job(**{"ref": f"j-{len(self.jobs) + 1:06d}", **changes})
         spec = wire.submission(body)
         record = job_record(spec, self.now, wire.QUEUED)
         status, value = self.state.commit({
