--- a/tests/world.py
+++ b/tests/world.py
@@ -164,7 +164,8 @@
     # --- users and machines -----------------------------------------------------------------------
 
     def submit(self, **changes: Any) -> str:
-        body = job(**{"ref": f"j-{len(self.jobs) + 1:06d}", **changes})
+        free = next(ref for number in range(len(self.jobs) + 1, 10**6) if (ref := f"j-{number:06d}") not in self.jobs)
+        body = job(**{"ref": free, **changes})
         spec = wire.submission(body)
         record = job_record(spec, self.now, wire.QUEUED)
         status, value = self.state.commit({
