--- a/tests/world.py
+++ b/tests/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import Any
 
 import msgspec
@@ -164,7 +165,8 @@
     # --- users and machines -----------------------------------------------------------------------
 
     def submit(self, **changes: Any) -> str:
-        free = next(ref for number in range(len(self.jobs) + 1, 10**6) if (ref := f"j-{number:06d}") not in self.jobs)
+        numbers = chain((1,), range(len(self.jobs) + 1, 10**6))
+        free = next(ref for number in numbers if (ref := f"j-{number:06d}") not in self.jobs)
         body = job(**{"ref": free, **changes})
         spec = wire.submission(body)
         record = job_record(spec, self.now, wire.QUEUED)
