--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -41,6 +41,7 @@
 
 WATCH_WAIT = 1_000 * MS
 ACCOUNT_EVERY = 5 * SECOND
+PLAN_GAP = 30 * MS
 PLAN_REST = 3  # times as long as a planning pass took, until the next
 
 
@@ -265,7 +266,7 @@
                 self.wake()
             # However much there is to plan, reports and renewals get most of the processor.
             took = steady() - now
-            await asyncio.sleep(seconds(max(15 * MS, PLAN_REST * took)))
+            await asyncio.sleep(seconds(max(PLAN_GAP, PLAN_REST * took)))
 
     def stalled(self, now: int) -> bool:
         return self.commits.stuck(now) or not self.entitled()
@@ -274,10 +275,13 @@
         while not self.over:
             await self._send_wanted.wait()
             self._send_wanted.clear()
+            now = self.now()
             for machine in list(self.cluster.to_send):
                 if machine in self._sending or machine.releasing:
                     continue
                 self.cluster.to_send.discard(machine)
+                if not self.cluster.commands(machine, now, direct=True)[0]:
+                    continue  # as mostly: what it was to be told is on its way
                 if machine.address and machine.session and len(self._sending) < 64:
                     self._sending.add(machine)
                     self.group.once("send", self._send(machine))
