--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -41,6 +41,7 @@
 
 WATCH_WAIT = 1_000 * MS
 ACCOUNT_EVERY = 5 * SECOND
+SENDING_MOST = 64  # machines that are told something at a time
 PLAN_GAP = 30 * MS
 PLAN_REST = 3  # times as long as a planning pass took, until the next
 
@@ -277,12 +278,14 @@
             self._send_wanted.clear()
             now = self.now()
             for machine in list(self.cluster.to_send):
+                if len(self._sending) >= SENDING_MOST:
+                    break  # the others keep their place; once half a second passed until they were thought of again
                 if machine in self._sending or machine.releasing:
                     continue
                 self.cluster.to_send.discard(machine)
-                if not self.cluster.commands(machine, now, direct=True)[0]:
-                    continue  # as mostly: what it was to be told is on its way
-                if machine.address and machine.session and len(self._sending) < 64:
+                if not machine.address or not machine.session:
+                    continue
+                if self.cluster.commands(machine, now, direct=True)[0]:  # mostly what it is to be told is on its way
                     self._sending.add(machine)
                     self.group.once("send", self._send(machine))
 
@@ -313,7 +316,7 @@
             self.heard(report, steady())
         finally:
             self._sending.discard(machine)
-            if machine in cluster.to_send:
+            if machine in cluster.to_send or len(self._sending) == SENDING_MOST - 1:
                 self._send_wanted.set()
 
     async def _tick_loop(self) -> None:
