Nodes take their network and clocks from outside; a lab can give them others

Clients are made by a Connector, a node's servers by its Network; steady() and time_of_day() read the clock that whoever started the node set in its context.

--- a/oatport/cli.py
+++ b/oatport/cli.py
@@ -112,13 +112,13 @@
 
 
 async def _explain(node: str, ref: str) -> int:
-    from oatport.clients.http import NoAnswer, make_session
+    from oatport.clients.http import HttpConnector, NoAnswer, make_session
     from oatport.clients.peer import PeerClient
     from oatport.times import SECOND
 
     session = make_session(64)
     try:
-        tag, answer = await PeerClient(session, node, node).ask("explain", ref, timeout_us=5 * SECOND)
+        tag, answer = await PeerClient(HttpConnector(session), node, node).ask("explain", ref, timeout_us=5 * SECOND)
     except (NoAnswer, ValueError) as error:
         print(f"oatport: {node}: no answer: {error}", file=sys.stderr)
         return 2
--- a/oatport/clients/cloud.py
+++ b/oatport/clients/cloud.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Callable
 
-import aiohttp
-
 from oatport import wire
-from oatport.clients.http import Bucket, HttpClient, NotSent, Refused
+from oatport.clients.http import Bucket, Connector, NotSent, Refused
 from oatport.times import SECOND
 
 DEADLINE = 5 * SECOND
@@ -16,9 +14,9 @@
 
 class CloudClient:
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, rps: float, may_act: Callable[[], bool]
+        self, net: Connector, address: str, rps: float, may_act: Callable[[], bool]
     ) -> None:
-        self._http = HttpClient(session, address)
+        self._http = net.client(address)
         # A little under the cloud's own limit, since an earlier leader may have used some of it.
         self._budget = Bucket(rps * 0.85)
         self._may_act = may_act
--- a/oatport/clients/http.py
+++ b/oatport/clients/http.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from yarl import URL
@@ -74,6 +74,29 @@
     )
 
 
+class Requester(Protocol):
+    """What one address is asked by: an HTTP client, or its like on the lab's network."""
+
+    async def request(
+        self, method: str, path: str, body: Any = None, *, timeout_us: int, query: str = ""
+    ) -> tuple[int, Any]:
+        """Status and decoded body. Raises NoAnswer, or NotSent if it surely never arrived."""
+
+
+class Connector(Protocol):
+    def client(self, address: str) -> Requester: ...
+
+
+class HttpConnector:
+    """Clients that share a session's connections."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    def client(self, address: str) -> Requester:
+        return HttpClient(self._session, address)
+
+
 class HttpClient:
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
--- a/oatport/clients/peer.py
+++ b/oatport/clients/peer.py
@@ -4,19 +4,17 @@
 
 from typing import Any
 
-import aiohttp
-
 from oatport import wire
-from oatport.clients.http import HttpClient, NoAnswer
+from oatport.clients.http import Connector, NoAnswer
 from oatport.times import MS
 
 DEADLINE = 800 * MS
 
 
 class PeerClient:
-    def __init__(self, session: aiohttp.ClientSession, name: str, address: str) -> None:
+    def __init__(self, net: Connector, name: str, address: str) -> None:
         self.name = name
-        self._http = HttpClient(session, address)
+        self._http = net.client(address)
 
     async def ask(self, *message: Any, timeout_us: int = DEADLINE) -> list[Any]:
         """Send ("tag", ...) and return the answer, another such tuple."""
--- a/oatport/clients/state.py
+++ b/oatport/clients/state.py
@@ -7,10 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-import aiohttp
-
 from oatport import wire
-from oatport.clients.http import HttpClient, NoAnswer, Refused
+from oatport.clients.http import Connector, NoAnswer, Refused
 from oatport.times import MS, SECOND, steady
 
 log = logging.getLogger(__name__)
@@ -35,8 +33,8 @@
 class StateClient:
     """Every call raises NoAnswer (unsure) or Refused (surely not executed) where it fails."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
-        self._http = HttpClient(session, address)
+    def __init__(self, net: Connector, address: str) -> None:
+        self._http = net.client(address)
         self.ok_at = 0  # when the last answered request was sent
         self.failed_at = 0
         self.on_answer: Callable[[bool], None] = lambda served: None
--- a/oatport/clients/worker.py
+++ b/oatport/clients/worker.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
-import aiohttp
+import asyncio
 
 from oatport import wire
-from oatport.clients.http import HttpClient, NoAnswer
+from oatport.clients.http import Connector, NoAnswer
 from oatport.times import MS
 
 COMMANDS_DEADLINE = 2_000 * MS
 SHOW_DEADLINE = 1_000 * MS
 
 
+async def count_reached(net: Connector, addresses: list[str]) -> int:
+    """How many of these workers answer."""
+
+    async def reach(address: str) -> bool:
+        try:
+            await WorkerClient(net, address).show()
+        except NoAnswer:
+            return False
+        return True
+
+    return sum(await asyncio.gather(*(reach(address) for address in addresses)))
+
+
 class WorkerClient:
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
-        self._http = HttpClient(session, address)
+    def __init__(self, net: Connector, address: str) -> None:
+        self._http = net.client(address)
 
     async def commands(self, token: int, session: int, orders: list[wire.Command]) -> wire.Report:
         """The worker's report after the commands, or after refusing them (409): either way it has answered."""
--- a/oatport/lab/queues.py
+++ b/oatport/lab/queues.py
@@ -17,7 +17,7 @@
 
 import aio_pika
 
-from oatport.clients.http import make_session
+from oatport.clients.http import HttpConnector, make_session
 from oatport.clients.state import StateClient
 from oatport.control.repeats import Repeat
 from oatport.queues import intake
@@ -154,8 +154,8 @@
             port=self.broker.port, lease_s=4.0, requests_per_s=2000.0, changes_per_s=2000.0, txn_ops=16, queues=queues,
         )
         link = BrokenLink(settings, self.broken) if self.broken else Link(settings)
-        gateway = Gateway(settings, StateClient(self.session, settings.state), HttpCore(self.session, settings.nodes),
-                          link.publish)
+        state = StateClient(HttpConnector(self.session), settings.state)
+        gateway = Gateway(settings, state, HttpCore(self.session, settings.nodes), link.publish)
         gateway.start()
         link.start(gateway)
         self.gateways[name] = gateway, link
--- a/oatport/queues/link.py
+++ b/oatport/queues/link.py
@@ -196,13 +196,14 @@
 
 async def run(settings: GatewaySettings) -> None:
     """A gateway until it is ended."""
-    from oatport.clients.http import make_session
+    from oatport.clients.http import HttpConnector, make_session
     from oatport.clients.state import StateClient
     from oatport.queues.core import HttpCore
 
     session = make_session(512)
     link = Link(settings)
-    gateway = Gateway(settings, StateClient(session, settings.state), HttpCore(session, settings.nodes), link.publish)
+    state = StateClient(HttpConnector(session), settings.state)
+    gateway = Gateway(settings, state, HttpCore(session, settings.nodes), link.publish)
     gateway.start()
     link.start(gateway)
     try:
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -6,7 +6,6 @@
 import logging
 from typing import Any
 
-import aiohttp
 import msgspec
 
 from oatport import wire
@@ -16,6 +15,7 @@
 from oatport.control.model import Kind, Machine
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
 from oatport.service.helm import Helm
+from oatport.service.network import Network
 from oatport.service.watching import Watcher
 from oatport.times import MS, SECOND, seconds, steady, time_of_day
 
@@ -27,19 +27,18 @@
 class FleetKeeper:
     """Acts for a leader; all it decides by is the leader's view of the cluster."""
 
-    def __init__(self, helm: Helm, session: aiohttp.ClientSession) -> None:
+    def __init__(self, helm: Helm, net: Network) -> None:
         self._helm = helm
-        self._session = session
         self.cluster = helm.cluster
         self.fleet = Fleet(helm.cluster)
         self.cloud = CloudClient(
-            session, helm.settings.services.cloud, helm.settings.cluster.cloud.rps, helm.entitled
+            net, helm.settings.services.cloud, helm.settings.cluster.cloud.rps, helm.entitled
         )
         self.home = helm.home
         self.state = helm.state
         self.tuning = helm.tuning
         self.group = helm.group
-        self.watcher = Watcher(helm, session, self.release, self.fleet)
+        self.watcher = Watcher(helm, net, self.release, self.fleet)
         self._requests = 0
         self._listed_at = 0
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -9,8 +9,6 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
-
 from oatport import wire
 from oatport.clients.http import NoAnswer, NotSent, Refused, jitter
 from oatport.clients.peer import PeerClient
@@ -28,6 +26,7 @@
 from oatport.service.fleetkeeper import FleetKeeper
 from oatport.service.groupcommit import GroupCommit
 from oatport.service.helm import Home
+from oatport.service.network import Network
 from oatport.service.takeover import introduce_all, read_records
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Settings, Tuning
@@ -48,7 +47,7 @@
 
 class Lead:
     def __init__(
-        self, home: Home, settings: Settings, tuning: Tuning, session: aiohttp.ClientSession,
+        self, home: Home, settings: Settings, tuning: Tuning, net: Network,
         state: StateClient, token: int, lease: int, held_at: int, windows: WindowSettings | None = None,
         repeats: Repeats | None = None,
     ) -> None:
@@ -58,7 +57,7 @@
         self.state = state
         self.token = token
         self.lease = lease
-        self._session = session
+        self._net = net
         limits = settings.cluster
         self.cluster = Cluster(token, limits, tuning, dict(home.types), Predictor())
         self.cluster.repeats = repeats or {}
@@ -70,13 +69,13 @@
         self.group = TaskGroup()
         self.loaded = False
         self.over = False
-        self.keeper = FleetKeeper(self, session)
+        self.keeper = FleetKeeper(self, net)
         self.commits = GroupCommit(self)
         self.windows: WindowKeeper | None = None
         if windows is not None and windows.on:
             from oatport.service.windowkeeper import WindowKeeper
 
-            self.windows = WindowKeeper(self, session, windows)
+            self.windows = WindowKeeper(self, net, windows)
         self._plan_wanted = asyncio.Event()
         self._send_wanted = asyncio.Event()
         self._sending: set[Machine] = set()
@@ -109,7 +108,7 @@
         self.keeper.start()
         if self.windows is not None:
             self.windows.start()
-        introduce_all(self, self._session)
+        introduce_all(self, self._net)
         self.wake()
 
     def close(self) -> None:
@@ -302,7 +301,7 @@
             keys = [(task.name, task.attempt) for task in starts]
             session = machine.session
             try:
-                report = await WorkerClient(self._session, machine.address).commands(self.token, session, orders)
+                report = await WorkerClient(self._net, machine.address).commands(self.token, session, orders)
             except NotSent:
                 cluster.answered(machine, keys)  # no connection: it can't land later
                 return
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -9,17 +9,18 @@
 
 from oatport import wire
 from oatport.api.peers import Message, Peers
-from oatport.api.server import Answer, BodyReader, Server
+from oatport.api.server import Answer, BodyReader
 from oatport.api.users import Users
 from oatport.api.workers import handle_report
-from oatport.clients.http import NoAnswer, Refused, jitter, make_session
+from oatport.clients.http import NoAnswer, Refused, jitter
 from oatport.clients.peer import PeerClient
 from oatport.clients.state import Applied, NoLease, StateClient
-from oatport.clients.worker import WorkerClient
+from oatport.clients.worker import count_reached
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
 from oatport.control.repeats import Repeats
 from oatport.control.steward import Steward
 from oatport.service.lead import Lead
+from oatport.service.network import HttpNetwork, Network
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Settings, Tuning
 from oatport.times import MS, SECOND, micros, seconds, steady
@@ -41,13 +42,15 @@
 
 class Node:
     def __init__(
-        self, settings: Settings, tuning: Tuning, windows: WindowSettings | None = None, repeats: Repeats | None = None
+        self, settings: Settings, tuning: Tuning, windows: WindowSettings | None = None, repeats: Repeats | None = None,
+        net: Network | None = None, boot: str = "",
     ) -> None:
         self.settings = settings
+        self._net = net or HttpNetwork(settings.cluster.resources.sockets)
         self.windows, self.repeats = windows, repeats
         self.tuning = tuning
         self.node_name = settings.node_name
-        self.boot = secrets.token_hex(6)  # tells this process from an earlier one of the same name
+        self.boot = boot or secrets.token_hex(6)  # tells this process from an earlier one of the same name
         self.types: dict[str, wire.MachineType] = {}
         self.display: dict[str, tuple[int, int]] = {}
         self.peers: dict[str, PeerClient] = {}
@@ -72,11 +75,12 @@
     # --- lifecycle --------------------------------------------------------------------------
 
     async def run(self) -> None:
-        self._session = make_session(self.settings.cluster.resources.sockets)
-        self.state = StateClient(self._session, self.settings.services.state)
+        net = self._net
+        net.open()
+        self.state = StateClient(net, self.settings.services.state)
         self.users = Users(self.settings, self.state, self)
         for peer in self.settings.peers:
-            self.peers[peer.node_name] = PeerClient(self._session, peer.node_name, peer.endpoint)
+            self.peers[peer.node_name] = PeerClient(net, peer.node_name, peer.endpoint)
         inside = Peers()
         for tag, handler in (
             ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
@@ -85,8 +89,8 @@
         ):
             inside.on(tag, handler)
         servers = [
-            Server(self.settings.internal_addr, inside.handle, body_limit=1024 * 1024),
-            Server(self.settings.bind, self._handle),
+            net.server(self.settings.internal_addr, inside.handle, 1024 * 1024),
+            net.server(self.settings.bind, self._handle),
         ]
         for server in servers:
             await server.start()
@@ -104,7 +108,7 @@
             self.group.close()
             for server in servers:
                 await server.close()
-            await self._session.close()
+            await net.close()
 
     async def _handle(self, method: str, path: str, body: BodyReader) -> Answer:
         report = path == wire.REPORT
@@ -424,15 +428,7 @@
 
     async def _reaches(self, addresses: list[str]) -> int:
         """How many of these workers this node can reach."""
-
-        async def reach(address: str) -> bool:
-            try:
-                await WorkerClient(self._session, address).show()
-            except NoAnswer:
-                return False
-            return True
-
-        return sum(await asyncio.gather(*(reach(address) for address in addresses)))
+        return await count_reached(self._net, addresses)
 
     async def _stand(self) -> None:
         """Become the leader if there is none, or if the one there is handed over."""
@@ -464,7 +460,7 @@
         self._take_from = 0
         self._leader, self._leader_token = self.node_name, token
         self._next_heard = steady()
-        lead = Lead(self, self.settings, self.tuning, self._session, self.state, token, lease, held_at, self.windows,
+        lead = Lead(self, self.settings, self.tuning, self._net, self.state, token, lease, held_at, self.windows,
                     self.repeats)
         self.lead = lead
         try:
--- a/oatport/service/takeover.py
+++ b/oatport/service/takeover.py
@@ -6,14 +6,13 @@
 import logging
 from typing import Any
 
-import aiohttp
-
 from oatport.clients.http import NoAnswer, jitter
 from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.model import Machine
 from oatport.control.records import DARK_KEY, FLEET, LIVE, MODEL_KEY
 from oatport.service.helm import Helm
+from oatport.service.network import Network
 from oatport.times import SECOND, steady
 
 log = logging.getLogger(__name__)
@@ -36,15 +35,15 @@
     return rows + fleet + live, revision
 
 
-def introduce_all(helm: Helm, session: aiohttp.ClientSession) -> None:
+def introduce_all(helm: Helm, net: Network) -> None:
     for machine in list(helm.cluster.machines.values()):
         if machine.address:
-            helm.group.once("introduce", introduce(helm, session, machine))
+            helm.group.once("introduce", introduce(helm, net, machine))
 
 
-async def introduce(helm: Helm, session: aiohttp.ClientSession, machine: Machine) -> None:
+async def introduce(helm: Helm, net: Network, machine: Machine) -> None:
     """Let a machine know the new token, and learn what is on it, without waiting for its report."""
-    client = WorkerClient(session, machine.address)
+    client = WorkerClient(net, machine.address)
     for _ in range(INTRODUCTIONS):
         if helm.over or machine.gone or machine.confirmed(helm.token):
             return
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -6,8 +6,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import aiohttp
-
 from oatport.clients.http import NoAnswer, Refused
 from oatport.clients.worker import WorkerClient
 from oatport.control.darkness import Leaving
@@ -16,6 +14,7 @@
 from oatport.control.records import LEADER_KEY
 from oatport.control.recovery import cut_off, dark_suspects, deaf, silent
 from oatport.service.helm import Helm
+from oatport.service.network import Network
 from oatport.service.takeover import introduce
 from oatport.times import MS, SECOND, steady
 
@@ -32,11 +31,11 @@
     """Acts for a leader; what is judged lost goes to `release`, whose answer proves it gone."""
 
     def __init__(
-        self, helm: Helm, session: aiohttp.ClientSession, release: Callable[[list[Machine], str], Awaitable[None]],
+        self, helm: Helm, net: Network, release: Callable[[list[Machine], str], Awaitable[None]],
         fleet: Fleet,
     ) -> None:
         self._helm = helm
-        self._session = session
+        self._net = net
         self._release = release
         self.cluster = helm.cluster
         self.home = helm.home
@@ -110,7 +109,7 @@
         back, self.cluster.back = self.cluster.back, set()
         there = [m for m in machines if m.zone in back and m.address and not m.gone]
         for machine in sorted(there, key=lambda m: -m.steady_cpus):
-            self.group.once("introduce", introduce(self._helm, self._session, machine))
+            self.group.once("introduce", introduce(self._helm, self._net, machine))
 
     async def _leave_dark(self, now: int) -> None:
         """Give up machines of zones that are cut off, where something is won by it (`control/darkness.py`)."""
@@ -199,7 +198,7 @@
 
     async def _probe(self, machine: Machine) -> None:
         try:
-            self._helm.heard(await WorkerClient(self._session, machine.address).show(), steady())
+            self._helm.heard(await WorkerClient(self._net, machine.address).show(), steady())
         except NoAnswer:
             pass
         finally:
--- a/oatport/service/windowkeeper.py
+++ b/oatport/service/windowkeeper.py
@@ -6,10 +6,9 @@
 import logging
 from typing import Any
 
-import aiohttp
-
 from oatport.control.model import Job
 from oatport.service.helm import Helm
+from oatport.service.network import Network
 from oatport.times import SECOND, micros, steady, time_of_day
 from oatport.windows.client import FeedClient
 from oatport.windows.holding import DayClock, Holder
@@ -23,9 +22,9 @@
 
 
 class WindowKeeper:
-    def __init__(self, helm: Helm, session: aiohttp.ClientSession, settings: WindowSettings) -> None:
+    def __init__(self, helm: Helm, net: Network, settings: WindowSettings) -> None:
         self._helm = helm
-        self._session = session
+        self._session = net.session
         self.settings = settings
         self.book = Book(micros(settings.fresh_s), micros(settings.dead_s))
         self._clock = DayClock(time_of_day(), steady())
--- a/oatport/times.py
+++ b/oatport/times.py
@@ -1,6 +1,8 @@
 """Times are whole microseconds everywhere in the code; only the edges speak seconds."""
 
 import time
+from contextvars import ContextVar
+from typing import Protocol
 
 MS = 1_000
 SECOND = 1_000_000
@@ -25,11 +27,24 @@
     return us - us * DRIFT_PER_MILLION // SECOND
 
 
+class Clock(Protocol):
+    """The two clocks of one machine."""
+
+    def steady(self) -> int: ...
+    def time_of_day(self) -> int: ...
+
+
+# The machine's own clocks, unless whoever started the node set others: in the lab each node has its own.
+CLOCK: ContextVar[Clock | None] = ContextVar("clock", default=None)
+
+
 def steady() -> int:
     """The steady clock."""
-    return time.monotonic_ns() // 1_000
+    clock = CLOCK.get()
+    return time.monotonic_ns() // 1_000 if clock is None else clock.steady()
 
 
 def time_of_day() -> int:
     """The time of day; only for what has to mean the same on another node."""
-    return time.time_ns() // 1_000
+    clock = CLOCK.get()
+    return time.time_ns() // 1_000 if clock is None else clock.time_of_day()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,7 +19,7 @@
 from oatport.settings import Tuning
 from oatport.times import SECOND, steady
 from standins.state import FakeState
-from tests.world import TYPES, FakeStateClient, node_settings
+from tests.world import TYPES, FakeStateClient, Unplugged, node_settings
 
 
 class Body:
@@ -60,7 +60,7 @@
 def leader(state: FakeState) -> tuple[Lead, FakeStateClient, Home]:
     token = state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n0"}}]})[1]["ledgerRev"]
     client, home = FakeStateClient(state), Home()
-    lead = Lead(home, node_settings(), Tuning(), None, client, token, 1, steady())  # type: ignore[arg-type]
+    lead = Lead(home, node_settings(), Tuning(), Unplugged(), client, token, 1, steady())  # type: ignore[arg-type]
     lead.loaded = True
     return lead, client, home
 
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -20,7 +20,7 @@
 from oatport.times import MS, SECOND
 from standins.state import FakeState
 from tests.test_service import FakePeer, leader
-from tests.world import FakeStateClient, World, node_settings
+from tests.world import FakeStateClient, Unplugged, World, node_settings
 
 
 class Clock:
@@ -74,7 +74,7 @@
     lead, _, home = leader(state)
     lead.mandate.asked_at = clock.at
     http_client = Asked()
-    cloud = CloudClient(None, "h:1", 5.0, lead.entitled)  # type: ignore[arg-type]
+    cloud = CloudClient(Unplugged(), "h:1", 5.0, lead.entitled)  # type: ignore[arg-type]
     cloud._http = http_client  # type: ignore[assignment]
     lead.keeper.cloud = cloud
     await cloud.release(["vm-000001"])
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -25,7 +25,7 @@
 from standins.feed import FeedServer
 from standins.state import FakeState
 from tests.test_service import leader
-from tests.world import World
+from tests.world import Unplugged, World
 
 HOUR = 3600 * SECOND
 DAY = 500_000 * HOUR
@@ -382,7 +382,7 @@
     state = FakeState(lambda: 0)
     lead, client, _ = leader(state)
     settings = WindowSettings(on=True, capacity_cpus=8.0, classes=(("train", Deferral()),))
-    keeper = WindowKeeper(lead, None, settings)  # type: ignore[arg-type]
+    keeper = WindowKeeper(lead, Unplugged(), settings)  # type: ignore[arg-type]
     now = keeper.wall()
     keeper.book.learn(hours(10.0, 20.0, start=now), now, now)
     keeper.holder.margins.load({"train": [1.0] * 30})
@@ -392,7 +392,7 @@
     await lead.commits.commit(lead.cluster.take_batch(12))
     later, _, _ = leader(state)
     later.state = client  # type: ignore[assignment]
-    heir = WindowKeeper(later, None, settings)  # type: ignore[arg-type]
+    heir = WindowKeeper(later, Unplugged(), settings)  # type: ignore[arg-type]
     await heir.take_over()
     assert [row.price for row in heir.book.rows] == [10.0, 20.0]
     assert heir.holder.margins.factor("train") < Margins().factor("train")
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from oatport import wire
-from oatport.clients.http import NoAnswer, Refused
+from oatport.clients.http import NoAnswer, NotSent, Refused
 from oatport.clients.state import Applied, Conflict
 from oatport.control.backlog import route_waiting
 from oatport.control.cluster import Cluster
@@ -216,6 +216,18 @@
         return str(self.state.items[job_key(ref)][0]["state"])
 
 
+class Unplugged:
+    """A network on which nobody is reached."""
+
+    session = None
+
+    def client(self, address: str) -> Unplugged:
+        return self
+
+    async def request(self, *args: Any, **more: Any) -> tuple[int, Any]:
+        raise NotSent("unplugged")
+
+
 class FakeStateClient:
     """StateClient's calls on a FakeState, with faults: "refuse", "lose" (applied, no answer), "late"."""
 
@@ -281,4 +293,4 @@
         return [self.state.commit(body)[0] for body in held]
 
 
-__all__ = ["CATALOG_KEY", "TYPES", "FakeStateClient", "World", "cluster_settings", "job", "node_settings"]
+__all__ = ["CATALOG_KEY", "TYPES", "FakeStateClient", "Unplugged", "World", "cluster_settings", "job", "node_settings"]
