--- a/oatport/lab/cli.py
+++ b/oatport/lab/cli.py
@@ -7,7 +7,7 @@
 import sys
 from typing import Any
 
-from oatport.lab import BREAKS, FAULTS
+from oatport.lab import BREAKS, FAULTS, GUARDS
 
 
 def add(commands: Any) -> None:
@@ -27,10 +27,48 @@
     queues.add_argument("--gateways", type=int, default=2)
     queues.add_argument("--break", dest="broken", choices=BREAKS, default="", help="switch one guard off")
     queues.add_argument("--json", action="store_true", help="the figures as one JSON object")
+    world = experiments.add_parser("rehearse", help="whole deployments in virtual time, judged by the rules")
+    world.add_argument("--seed", type=int, default=1)
+    world.add_argument("--seeds", type=int, default=1, help="so many, from --seed on")
+    world.add_argument("--nodes", type=int, default=3)
+    world.add_argument("--machines", type=int, default=40)
+    world.add_argument("--plan", metavar="FILE", help="troubles from a TOML file instead of drawn ones")
+    world.add_argument("--story", default="any", help="a family of plans")
+    world.add_argument("--break", dest="broken", choices=GUARDS, default="", help="switch one guard off")
+    world.add_argument("--jobs", type=int, default=0, help="runs at a time (default: all processors)")
+    world.add_argument("--json", action="store_true", help="the figures as one JSON object")
 
 
 def run(arguments: argparse.Namespace) -> int:
-    return _queues(arguments) if arguments.experiment == "queues" else _windows(arguments)
+    experiments = {"queues": _queues, "windows": _windows, "rehearse": _rehearse}
+    return experiments[arguments.experiment](arguments)
+
+
+def _rehearse(arguments: argparse.Namespace) -> int:
+    from oatport.lab.world import rehearse as world
+    from oatport.lab.world.plan import BadPlan
+
+    try:
+        if arguments.story not in world.STORIES:
+            raise BadPlan(f"story: must be one of {', '.join(world.STORIES)}, not {arguments.story!r}")
+        for name, least, most in (("seeds", 1, 100_000), ("nodes", 1, 7), ("machines", 1, 5000), ("jobs", 0, 256)):
+            if not least <= getattr(arguments, name) <= most:
+                raise BadPlan(f"{name}: must be {least} to {most}, not {getattr(arguments, name)}")
+        plan = world.read_plan(arguments.plan)
+    except BadPlan as error:
+        print(f"oatport: lab rehearse: {error}", file=sys.stderr)
+        return 2
+    world.same_hashes()
+    asked = world.Asked(arguments.seed, arguments.seeds, arguments.nodes, arguments.machines, plan, arguments.story,
+                        arguments.broken)
+    figures, bad = world.rehearse(asked, arguments.jobs)
+    for result in bad[:3]:
+        if result.errors:
+            print(f"seed {result.seed}: {result.errors[0]}", file=sys.stderr)
+    if any(result.violations for result in bad):
+        print(world.account(asked, next(result for result in bad if result.violations)), file=sys.stderr)
+    print(json.dumps(figures) if arguments.json else "\n".join(f"{name:18} {value}" for name, value in figures.items()))
+    return 1 if bad else 0
 
 
 def _queues(arguments: argparse.Namespace) -> int:
--- /dev/null
+++ b/oatport/lab/world/breaks.py
@@ -0,0 +1,103 @@
+"""Guards that can be switched off, to show that the checker would notice: each stands for a point of "Safety"."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any
+from unittest.mock import patch
+
+from msgspec.structs import replace
+
+from oatport.clients.state import StateClient
+from oatport.clients.worker import WorkerClient
+from oatport.control.cluster import Cluster
+from oatport.control.mandate import Mandate
+from oatport.control.model import Phase
+from oatport.control.records import LEADER_KEY
+from oatport.control.recovery import OutageClock
+from oatport.control.work import Work
+from oatport.service.fleetkeeper import FleetKeeper
+from oatport.service.groupcommit import GroupCommit
+from oatport.service.lead import Lead
+from oatport.service.node import Node
+from oatport.times import steady
+
+
+def _fencing() -> list[Any]:
+    """A leader goes on whatever became of its lease and its key, and takes over whatever token a worker has seen."""
+    commit, commands, lost = StateClient.commit, WorkerClient.commands, Node.lost_lead
+
+    async def unconditioned(self: StateClient, conditions: dict[str, int], sets: Any, *args: Any, **more: Any) -> Any:
+        if LEADER_KEY in conditions and LEADER_KEY not in sets and len(conditions) > 1:
+            conditions = {key: version for key, version in conditions.items() if key != LEADER_KEY}
+        return await commit(self, conditions, sets, *args, **more)
+
+    async def unfenced(self: WorkerClient, token: int, session: int, orders: Any) -> Any:
+        report = await commands(self, token, session, orders)
+        if report.token > token:
+            report = await commands(self, report.token, report.session, orders)
+            return replace(report, token=token)
+        return report
+
+    def keeps(self: Node, why: str) -> None:
+        if why == "shutting down":
+            lost(self, why)
+
+    return [
+        patch.object(Mandate, "holds", lambda self, now: True),
+        patch.object(OutageClock, "until", property(lambda self: steady() + 10**12)),
+        patch.object(StateClient, "commit", unconditioned),
+        patch.object(WorkerClient, "commands", unfenced),
+        patch.object(Node, "lost_lead", keeps),
+        patch.object(Lead, "depose", lambda self, why: None),
+        patch.object(GroupCommit, "stuck", lambda self, now: False),
+    ]
+
+
+def _write_ahead() -> list[Any]:
+    """Starts go out before they are recorded."""
+    claim = Work.claim
+
+    def claim_and_send(self: Work, *args: Any, **more: Any) -> Any:
+        task = claim(self, *args, **more)
+        task.phase = Phase.PLACED
+        assert task.machine is not None
+        self.unacked.add(task)
+        self.to_send.add(task.machine)
+        return task
+
+    return [patch.object(Work, "claim", claim_and_send)]
+
+
+def _forget() -> list[Any]:
+    """Ended attempts are forgotten while a start of theirs may be in flight."""
+    return [patch.object(Cluster, "_may_forget", lambda self, machine, name, attempt: True)]
+
+
+def _unproven() -> list[Any]:
+    """What is silent is taken to be gone, without the cloud's word for it."""
+    release = FleetKeeper.release
+
+    async def judged(self: FleetKeeper, machines: Any, why: str) -> None:
+        if why not in ("silent", "cut off"):
+            await release(self, machines, why)
+            return
+        for machine in machines:
+            self.cluster.machine_gone(machine, steady(), why)
+
+    return [patch.object(FleetKeeper, "release", judged)]
+
+
+GUARDS: dict[str, Callable[[], list[Any]]] = {
+    "fencing": _fencing, "write-ahead": _write_ahead, "forget": _forget, "unproven": _unproven,
+}
+
+
+@contextmanager
+def broken(name: str) -> Iterator[None]:
+    """Within this, one guard is off; none if the name is empty."""
+    with ExitStack() as stack:
+        for change in GUARDS[name]() if name else []:
+            stack.enter_context(change)
+        yield
--- /dev/null
+++ b/oatport/lab/world/checker.py
@@ -0,0 +1,207 @@
+"""The rules of PROTOCOL, judged by what is on machines and what users were told; never by what controllers believe."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from oatport.lab.world.loop import VirtualLoop
+from oatport.lab.world.users import Ask
+from oatport.lab.world.worker import DONE, Worker
+from oatport.settings import ClusterSettings
+from oatport.times import SECOND
+
+POLLS_FAIL_FOR = 90.0
+EPSILON = 1e-6
+
+
+@dataclass
+class Place:
+    worker: Worker
+    attempt: int
+    since: float
+
+
+@dataclass
+class Checker:
+    loop: VirtualLoop
+    settings: ClusterSettings
+    asks: dict[str, Ask] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    on_first: Callable[[], None] = lambda: None  # a rule breaks for the first time
+    closed: bool = False  # what happens now is no part of the run
+    places: dict[str, Place] = field(default_factory=dict)  # task -> where it is
+    _by_job: defaultdict[str, dict[str, Worker]] = field(default_factory=lambda: defaultdict(dict))
+    _use: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(lambda: [0.0, 0.0]))
+    _done: defaultdict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
+    _failing_since: dict[str, float] = field(default_factory=dict)  # job -> since when all its polls fail
+    _polls: list[tuple[float, bool]] = field(default_factory=list)
+
+    def break_of(self, rule: str, what: str) -> None:
+        if not self.violations:
+            self.on_first()
+        self.violations.append(f"{rule} at {self.loop.time() - 1000:.2f} s: {what}")
+
+    @property
+    def rules(self) -> set[str]:
+        return {row.split(" ", 1)[0] for row in self.violations}
+
+    # --- machines ---------------------------------------------------------------------------
+
+    def began(self, worker: Worker, task: str, attempt: int) -> None:
+        if self.closed:
+            return
+        now = self.loop.time()
+        self.counts["starts"] += 1
+        ref = task.rsplit("/", 1)[0]
+        ask = self.asks[ref]
+        ask.started_at = ask.started_at or now
+        there = self.places.get(task)
+        if there is not None:
+            self.break_of("ran_twice", f"{task} attempt {attempt} starts on {worker.name}, "
+                                       f"attempt {there.attempt} is on {there.worker.name}")
+        if ask.cancelled_at is not None and now > ask.cancelled_at + self.settings.workers.cancel_s + EPSILON:
+            self.break_of("ran_cancelled", f"{task} starts on {worker.name}")
+        self._check_place(ask.body, worker, task)
+        self.places[task] = Place(worker, attempt, now)
+        self._by_job[ref][task] = worker
+        team = str(ask.body["crew"])
+        use = self._use[team]
+        use[0] += float(ask.body["cores"])
+        use[1] += float(ask.body["accelerators"])
+        limits = next(t for t in self.settings.teams if t.name == team)
+        if (limits.cpus_max > 0 and use[0] > limits.cpus_max + EPSILON) or (
+                limits.gpus_max > 0 and use[1] > limits.gpus_max + EPSILON):
+            self.break_of("quota", f"{team} uses {use[0]:g} CPUs and {use[1]:g} GPUs with {task} on {worker.name}")
+
+    def _check_place(self, body: dict[str, Any], worker: Worker, task: str) -> None:
+        zones = Counter(w.zone for t, w in self._by_job[str(body["ref"])].items() if t != task)
+        wrong = ""
+        if worker.spot and not body["driftwood"]:
+            wrong = "a spot machine"
+        elif body["berthKinds"] is not None and worker.type not in body["berthKinds"]:
+            wrong = f"type {worker.type}"
+        elif body["harbor"] not in (None, worker.zone):
+            wrong = f"zone {worker.zone}"
+        elif body["samePlace"] and any(zone != worker.zone for zone in zones):
+            wrong = f"zone {worker.zone}, others are in {sorted(zones)}"
+        elif body["spread"] and zones[worker.zone] + 1 > (int(body["legs"]) + 1) // 2:
+            wrong = f"zone {worker.zone} has {zones[worker.zone]} of {body['legs']} already"
+        if wrong:
+            self.break_of("wrong_place", f"{task} starts on {worker.name}: {wrong}")
+
+    def ended(self, worker: Worker, task: str, attempt: int, why: str) -> None:
+        if self.closed:
+            return
+        now = self.loop.time()
+        ref = task.rsplit("/", 1)[0]
+        ask = self.asks[ref]
+        place = self.places.get(task)
+        if place is not None and place.worker is worker and place.attempt == attempt:
+            del self.places[task]
+            del self._by_job[ref][task]
+            if ask.body["rig"] == "standing":
+                ask.up_us += round((now - place.since) * SECOND)
+        use = self._use[str(ask.body["crew"])]
+        use[0] -= float(ask.body["cores"])
+        use[1] -= float(ask.body["accelerators"])
+        self.counts["stops"] += why == "halted"
+        self.counts["lease_kills"] += why == "lease"
+        if why == DONE:
+            self._done[ref].add(task)
+            ask.completed = len(self._done[ref])
+            if ask.completed >= int(ask.body["legs"]):
+                ask.completed_at = ask.completed_at or now
+
+    def cancel_due(self, ask: Ask) -> None:
+        """So long after its user was told: nothing of it may be left."""
+        for task in self._by_job[ask.ref]:
+            self.break_of("ran_cancelled", f"{task} is still on {self.places[task].worker.name}")
+
+    # --- users ------------------------------------------------------------------------------
+
+    def told(self, ask: Ask, what: str, status: int, value: Any) -> None:
+        if self.closed:
+            return
+        now = self.loop.time()
+        self.counts["answers" if status else "no_answer"] += 1
+        state = str(value.get("status")) if status in (200, 201) and isinstance(value, dict) else ""
+        if what == "poll":
+            self._polled(ask, status, now)
+        if ask.accepted_at is not None and (status == 404 or (what == "submit" and status in (400, 422))):
+            self.break_of("forgotten", f"{what} of {ask.ref} was answered {status}")
+        if not state:
+            return
+        if ask.cancelled_at is not None and state != "aborted":
+            self.break_of("went_back", f"{ask.ref} was cancelled, and is called {state}")
+        if ask.done_at is not None and state != "done":
+            self.break_of("went_back", f"{ask.ref} was done, and is called {state}")
+        if state == "aborted":
+            if what != "cancel" and ask.cancel_at is None:
+                self.break_of("went_back", f"{ask.ref} is called cancelled, and nobody cancelled it")
+            if ask.cancelled_at is None:
+                ask.cancelled_at = now
+                self.loop.later(round(self.settings.workers.cancel_s * SECOND) + 1000, None, self.cancel_due, ask)
+        if state == "done":
+            if ask.completed_at is None:
+                self.break_of("not_done", f"{ask.ref} is called done after {ask.completed} of {ask.body['legs']} tasks")
+            ask.done_at = ask.done_at or now
+
+    def _polled(self, ask: Ask, status: int, now: float) -> None:
+        good = status == 200
+        self._polls.append((now, good))
+        if good:
+            self._failing_since.pop(ask.ref, None)
+            return
+        since = self._failing_since.setdefault(ask.ref, now)
+        if now - since >= POLLS_FAIL_FOR:
+            recent = [ok for at, ok in self._polls if at >= since]
+            if sum(recent) * 2 > len(recent):
+                self.break_of("forgotten", f"polls for {ask.ref} have failed for {now - since:.0f} s")
+            self._failing_since[ask.ref] = now
+
+    def stranger(self, ref: str, status: int) -> None:
+        """A poll for a job that nobody submitted."""
+        if status == 200:
+            self.break_of("invented", f"{ref} was never submitted")
+
+    # --- shares -----------------------------------------------------------------------------
+
+    def close(self) -> None:
+        """The day is over."""
+        if self.asks and not self.counts["starts"]:
+            self.break_of("nothing_ran", "no task was started")
+        for task, place in list(self.places.items()):
+            ask = self.asks[task.rsplit("/", 1)[0]]
+            if ask.body["rig"] == "standing":
+                ask.up_us += round((self.loop.time() - place.since) * SECOND)
+
+    def served(self, by: str) -> dict[str, dict[str, float]]:
+        """By class (`cargo`) or team (`crew`): shares accepted, started and completed of what was first submitted.
+
+        Of services the share of their replicas' time, from their submission on, that they were up counts as completed.
+        Jobs that their users cancelled, or submitted with a mistake, count only as submitted and accepted.
+        """
+        end = self.loop.time()
+        rows: defaultdict[str, list[Ask]] = defaultdict(list)
+        for ask in self.asks.values():
+            if ask.at < end:
+                rows[str(ask.body[by])].append(ask)
+        found = {}
+        for name, asks in sorted(rows.items()):
+            kept = [a for a in asks if a.cancelled_at is None and not a.mistaken] or asks
+            completed = 0.0
+            for ask in kept:
+                tasks = int(ask.body["legs"])
+                wanted = (end - ask.at) * SECOND * tasks
+                completed += (min(1.0, ask.up_us / wanted) if ask.body["rig"] == "standing" and wanted > 0
+                              else ask.completed / tasks)
+            found[name] = {
+                "accepted": sum(a.accepted_at is not None for a in asks) / len(asks),
+                "started": sum(a.started_at is not None for a in kept) / len(kept),
+                "completed": completed / len(kept),
+            }
+        return found
--- /dev/null
+++ b/oatport/lab/world/cloud.py
@@ -0,0 +1,132 @@
+"""The cloud: rentals by name, capacity, boots, lists that lag, take-backs, and the time when its interface is down."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+from oatport import wire
+from oatport.lab.world.loop import Host
+from oatport.times import MS, SECOND, micros, seconds
+
+Answer = tuple[int, Any]
+Sort = tuple[str, str, bool]
+
+
+class Registry:
+    """Machines and requests: the rules alone, on no clock of its own."""
+
+    def __init__(self, types: list[dict[str, Any]], capacity: int | dict[Sort, int] = 20) -> None:
+        self.types = types
+        self.capacity = capacity  # of all sorts together, or of each
+        self.machines: dict[str, dict[str, Any]] = {}
+        self.requests: dict[str, list[str]] = {}
+        self.on_rent: Callable[[dict[str, Any]], None] = lambda machine: None
+        self.on_release: Callable[[str], None] = lambda name: None
+        self.rented = 0
+
+    def catalog(self) -> dict[str, Any]:
+        return {"berthKinds": self.types}
+
+    def _left(self, sort: Sort) -> int:
+        if isinstance(self.capacity, int):
+            return self.capacity - len(self.machines)
+        there = sum((m["berthKind"], m["harbor"], m["driftwood"]) == sort for m in self.machines.values())
+        return self.capacity.get(sort, 0) - there
+
+    def rent(self, body: dict[str, Any]) -> Answer:
+        if body["charter"] in self.requests:
+            return 200, {"berths": self.requests[body["charter"]]}
+        names = []
+        sort = (body["berthKind"], body["harbor"], body["driftwood"])
+        for _ in range(max(0, min(body["howMany"], self._left(sort)))):
+            names.append(self.add(*sort))
+        if not names:
+            return 503, {"error": "no capacity"}
+        self.requests[body["charter"]] = names
+        return 200, {"berths": names}
+
+    def add(self, kind: str, zone: str, spot: bool) -> str:
+        name = f"vm-{self.rented:06d}"
+        self.rented += 1
+        self.machines[name] = {"ref": name, "address": "", "berthKind": kind, "harbor": zone, "driftwood": spot,
+                               "status": "booting", "ageS": 0.0}
+        self.on_rent(self.machines[name])
+        return name
+
+    def release(self, body: dict[str, Any]) -> Answer:
+        for name in body["berths"]:
+            if self.machines.pop(name, None) is not None:
+                self.on_release(name)
+        return 200, {}
+
+    def list(self) -> Answer:
+        return 200, {"berths": [self.machines[name] for name in sorted(self.machines)], "hasNext": False}
+
+
+@dataclass
+class CloudService:
+    """The registry behind its address, as the lists show it: a while ago."""
+
+    host: Host
+    rng: random.Random
+    registry: Registry
+    rps: float
+    lag_s: float
+    down: bool = False
+    asked: Counter[str] = field(default_factory=Counter)
+    born: dict[str, float] = field(default_factory=dict)
+    _level: float = 0.0
+    _at: float = 0.0
+    _lists: deque[tuple[float, list[dict[str, Any]]]] = field(default_factory=deque)
+
+    def picture(self) -> None:
+        """Remember what a list says from a while later on; to be called every second."""
+        now = self.host.loop.time()
+        self._lists.append((now, [dict(m, ageS=now - self.born.get(name, now))
+                                  for name, m in sorted(self.registry.machines.items())]))
+        while len(self._lists) > 2 and self._lists[1][0] < now - 2 * self.lag_s:
+            self._lists.popleft()
+
+    async def serve(self, method: str, target: str, body: Any) -> Answer:
+        self.asked["requests"] += 1
+        await asyncio.sleep(seconds(20 * MS + self.rng.randrange(60 * MS)))
+        now = self.host.loop.time()
+        self._level = min(2 * self.rps, self._level + (now - self._at) * self.rps)
+        self._at = now
+        if self.down:
+            return 503, {"error": "trouble"}
+        if self._level < 1:
+            self.asked["429"] += 1
+            return 429, None
+        self._level -= 1
+        path, _, query = target.partition("?")
+        if path == wire.CATALOG:
+            return 200, self.registry.catalog()
+        if path == wire.HOSTS and method == "POST":
+            self.asked["rentals"] += 1
+            return self.registry.rent(body)
+        if path == wire.RELEASE:
+            return self.registry.release(body)
+        asked = {key: values[0] for key, values in parse_qs(query).items()}
+        old = now - self.lag_s * self.rng.uniform(1.0, 2.0)
+        seen: list[dict[str, Any]] = next((rows for at, rows in reversed(self._lists) if at <= old), [])
+        rows = [row for row in seen if row["ref"] > asked.get("from", "")]
+        page = min(int(asked.get("page", 500)), 500)
+        return 200, {"berths": rows[:page], "hasNext": len(rows) > page}
+
+
+def boot_us(rng: random.Random, startup_s: float) -> int:
+    """Usually 0.6 to 1.5 times the nominal time; some take several times as long."""
+    times = rng.uniform(0.6, 1.5)
+    if rng.random() < 0.03:
+        times = rng.uniform(2.0, 4.0)
+    return micros(startup_s * times)
+
+
+__all__ = ["SECOND", "CloudService", "Registry", "boot_us"]
--- /dev/null
+++ b/oatport/lab/world/deployment.py
@@ -0,0 +1,131 @@
+"""What a world is made of before anything happens: settings, machine types and the jobs of a day."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from oatport import wire
+from oatport.lab.world.plan import Plan
+from oatport.lab.world.users import Ask
+from oatport.settings import (
+    CloudLimits,
+    ClusterSettings,
+    Objective,
+    Peer,
+    Services,
+    Settings,
+    StateLimits,
+    Team,
+    Workers,
+)
+
+ZONES = ("a", "b")
+STATE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
+CATALOG = [
+    {"label": "m8", "cores": 8.0, "accelerators": 0.0, "memoryGb": 32.0, "cacheGb": 100.0, "fetchGbPerS": 1.0,
+     "price": 1.0, "marketPrice": 0.4, "startupS": 8.0, "harbors": list(ZONES)},
+    {"label": "g16", "cores": 16.0, "accelerators": 4.0, "memoryGb": 64.0, "cacheGb": 100.0, "fetchGbPerS": 1.0,
+     "price": 8.0, "marketPrice": 3.0, "startupS": 12.0, "harbors": list(ZONES)},
+]
+TYPES = wire.catalog({"berthKinds": CATALOG})
+# class -> its share of the jobs; what one is like is drawn in `_job`
+CLASSES = {"serve": 0.12, "batch": 0.5, "train": 0.08, "guest": 0.2, "local": 0.1}
+TEAMS = {"serve": "north", "batch": "south", "train": "north", "guest": "east", "local": "east"}
+SERVICES_AT_START = 0.15  # for each machine
+
+
+def cluster_settings(plan: Plan) -> ClusterSettings:
+    cpus = 8.0 * plan.machines
+    return ClusterSettings(
+        workers=Workers(report_s=1.5, lease_s=12.0, gang_wait_s=30.0, gang_peer_s=4.0, cancel_s=36.0),
+        state=StateLimits(rps=max(150.0, plan.machines / 2), write_rps=max(60.0, plan.machines / 5), value_kb=32.0,
+                          txn_ops=16),
+        cloud=CloudLimits(rps=4.0, list_lag_s=3.0),
+        size=plan.nodes, zones=list(ZONES), clock_off_ms=5.0,
+        teams=[Team("north", cpus=cpus * 0.3, cpus_max=cpus * 0.7), Team("south", cpus=cpus * 0.3, cpus_max=cpus * 0.6),
+               Team("east", cpus_max=cpus * 0.25)],
+        objectives=[Objective(kind="wait", job_class="serve", within_s=8.0),
+                    Objective(kind="deadline", job_class="batch"),
+                    Objective(kind="wait", job_class="train", within_s=40.0)],
+    )
+
+
+def node_addresses(plan: Plan) -> dict[str, tuple[str, str]]:
+    """Name of each node -> where it serves users and workers, and where the other nodes."""
+    return {f"n{i}": (f"10.0.0.{i + 1}:8080", f"10.0.0.{i + 1}:8081") for i in range(plan.nodes)}
+
+
+def node_zone(name: str) -> str:
+    return ZONES[int(name[1:]) % len(ZONES)]
+
+
+def node_settings(plan: Plan, name: str, cluster: ClusterSettings) -> Settings:
+    places = node_addresses(plan)
+    return Settings(
+        node_name=name, bind=places[name][0], internal_addr=places[name][1], zone=node_zone(name), cluster=cluster,
+        services=Services(cloud=CLOUD, state=STATE),
+        peers=[Peer(other, inside, node_zone(other)) for other, (_, inside) in places.items() if other != name],
+    )
+
+
+def capacity(plan: Plan) -> dict[tuple[str, str, bool], int]:
+    """How many machines the cloud has of each sort."""
+    found: dict[tuple[str, str, bool], int] = {}
+    for number in range(plan.machines):
+        kind = "g16" if number % 10 == 9 else "m8"
+        sort = (kind, ZONES[number % 2], number % 4 in (1, 2))
+        found[sort] = found.get(sort, 0) + 1
+    return found
+
+
+def jobs(plan: Plan, rng: random.Random, begins: float) -> list[Ask]:
+    """The jobs of a day, in the order in which they come; some are cancelled by their users."""
+    asks: list[Ask] = []
+    for name, share in CLASSES.items():
+        at = 0.0
+        rate = plan.jobs_a_minute * share / 60
+        while rate > 0:
+            burst = max([f.amount for f in plan.faults
+                         if f.kind == "rush" and f.name == name and f.at_s <= at < f.at_s + f.for_s], default=1.0)
+            at += rng.expovariate(rate * max(burst, 0.01))
+            if at >= plan.for_s:
+                break
+            asks.append(Ask(_job(rng, name, plan), begins + at))
+    asks += [Ask(_job(rng, "serve", plan), begins + rng.uniform(0, 1))
+             for _ in range(round(SERVICES_AT_START * plan.machines))]
+    asks.sort(key=lambda ask: ask.at)
+    for number, ask in enumerate(asks):
+        ask.body["ref"] = f"j-{number + 1:06d}"
+        ask.mistaken = ask.body["rig"] != "standing" and rng.random() < 0.04
+        if ask.mistaken or rng.random() < 0.12:
+            ask.cancel_at = ask.at + rng.uniform(2, 50)
+    return asks
+
+
+def _job(rng: random.Random, name: str, plan: Plan) -> dict[str, Any]:
+    job: dict[str, Any] = {
+        "ref": "", "cargo": name, "crew": TEAMS[name], "rig": "array", "urgency": "normal", "legs": 1, "cores": 1.0,
+        "accelerators": 0.0, "memoryGb": 2.0, "hull": f"img-{name}-{rng.randrange(3)}", "sizeGb": rng.uniform(0.3, 2.5),
+        "berthKinds": None, "harbor": None, "samePlace": False, "spread": False, "driftwood": True, "voyageS": 10.0,
+        "mooringS": 0.0, "stowS": 0.0, "tideS": None,
+    }
+    if name == "serve":
+        job |= {"rig": "standing", "legs": rng.randint(2, 4), "cores": 2.0, "urgency": "production", "spread": True,
+                "driftwood": False, "voyageS": 0.0}
+    elif name == "batch":
+        run = rng.uniform(6, 30)
+        job |= {"legs": rng.randint(2, max(4, min(40, plan.machines // 3))), "cores": rng.choice([2.0, 4.0]),
+                "voyageS": run, "tideS": run * 3 + 40}
+        if rng.random() < 0.3:
+            job |= {"mooringS": 4.0, "stowS": 2.0}
+    elif name == "train":
+        job |= {"rig": "gang", "legs": rng.randint(1, 2), "cores": 6.0, "accelerators": 2.0, "memoryGb": 16.0,
+                "urgency": "high", "samePlace": rng.random() < 0.7, "voyageS": rng.uniform(15, 40), "mooringS": 5.0,
+                "stowS": 2.0}
+    elif name == "guest":
+        job |= {"legs": rng.randint(4, 30), "urgency": "idle", "voyageS": rng.uniform(3, 12)}
+    else:
+        job |= {"legs": rng.randint(1, 4), "cores": 2.0, "voyageS": rng.uniform(5, 20), "harbor": rng.choice(ZONES),
+                "driftwood": rng.random() < 0.5, "berthKinds": ["m8"]}
+    return job
--- /dev/null
+++ b/oatport/lab/world/loop.py
@@ -0,0 +1,173 @@
+"""An event loop in virtual time, and hosts that can stand still, slow down or end on it.
+
+Time passes only when nothing is left to do. Each callback belongs to the host in whose context it was made, so a host
+that stands still simply runs none of its own until it goes on, while its clocks (and everybody else) do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import heapq
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from oatport.times import CLOCK, SECOND
+
+HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
+
+
+class Stuck(RuntimeError):
+    """Nothing is left that could ever happen."""
+
+
+class Host:
+    """A machine of the world: a node, a worker's machine, a service or a user."""
+
+    def __init__(self, loop: VirtualLoop, name: str, *tags: str, drift: float = 0.0, off_us: int = 0) -> None:
+        self.loop, self.name = loop, name
+        self.tags = frozenset((name, *tags))
+        self.drift, self.off_us = drift, off_us
+        self.dead = False
+        self.frozen = False
+        self.step_us = 0  # what each callback takes, for one that computes slowly
+        self.busy_until = 0.0
+        self.parked: deque[asyncio.Handle] = deque()
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.context = contextvars.copy_context()
+        self.context.run(HOST.set, self)
+        self.context.run(CLOCK.set, self)
+        loop.hosts.append(self)
+
+    def steady(self) -> int:
+        """Whole microseconds; a steady clock runs up to 0.05% fast."""
+        return round(self.loop.time() * (1 + self.drift) * SECOND)
+
+    def time_of_day(self) -> int:
+        return self.loop.now() + self.off_us + 1_000_000 * SECOND
+
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def thaw(self) -> None:
+        self.frozen = False
+        self.loop.unpark(self)
+
+    def end(self) -> None:
+        """Its process is gone: nothing of it runs any more, not even what would tidy up."""
+        self.dead = True
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Runs what is ready; when nothing is, the time moves to the next timer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._at = 1_000.0
+        self.turns = 0
+        self.hosts: list[Host] = []
+        self.errors: list[str] = []
+        self.set_task_factory(self._make_task)
+        self.set_exception_handler(self._on_error)
+
+    def time(self) -> float:
+        return self._at
+
+    def now(self) -> int:
+        """Whole microseconds since the world began, plus a constant."""
+        return round(self._at * SECOND)
+
+    def _make_task(self, loop: Any, work: Any, **more: Any) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.Task(work, loop=self, **more)
+        host = HOST.get() if more.get("context") is None else more["context"].get(HOST)
+        if host is not None:
+            host.tasks.add(task)
+            task.add_done_callback(host.tasks.discard, context=self._bare)
+        return task
+
+    _bare = contextvars.Context()
+
+    def dissolve(self) -> None:
+        """A run is over: all that is under way on any host, also on those that ended, is cancelled and let go."""
+        for host in self.hosts:
+            host.dead, host.frozen, host.step_us = False, False, 0
+            self.unpark(host)
+
+        async def cancel() -> None:
+            for _ in range(20):
+                tasks = [task for host in self.hosts for task in host.tasks]
+                if not tasks:
+                    return
+                for task in tasks:
+                    task.cancel()
+                await asyncio.wait(tasks, timeout=1.0)
+
+        self.run_until_complete(asyncio.Task(cancel(), loop=self, context=contextvars.Context()))
+        self.close()
+
+    def unpark(self, host: Host) -> None:
+        while host.parked:
+            self._ready.append(host.parked.popleft())  # type: ignore[attr-defined]
+
+    def _on_error(self, loop: Any, context: dict[str, Any]) -> None:
+        self.errors.append(f"{context.get('message')}: {context.get('exception')!r}")
+
+    def _run_once(self) -> None:
+        ready: deque[asyncio.Handle] = self._ready  # type: ignore[attr-defined]
+        timers: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
+        if not ready:
+            while timers and timers[0]._cancelled:
+                heapq.heappop(timers)._scheduled = False  # type: ignore[attr-defined]
+            if not timers and not self._stopping:  # type: ignore[attr-defined]
+                raise Stuck("nothing is left to happen")
+            if timers:
+                self._at = max(self._at, timers[0].when())
+        while timers and timers[0].when() <= self._at:
+            handle = heapq.heappop(timers)
+            handle._scheduled = False  # type: ignore[attr-defined]
+            if not handle._cancelled:
+                ready.append(handle)
+        for _ in range(len(ready)):
+            handle_ = ready.popleft()
+            if handle_._cancelled:
+                continue
+            host = handle_._context.get(HOST)  # type: ignore[attr-defined]
+            if host is not None:
+                if host.dead or host.frozen or host.parked:
+                    host.parked.append(handle_)
+                    continue
+                if host.step_us:
+                    if host.busy_until > self._at:
+                        host.parked.append(handle_)
+                        self.call_at(host.busy_until, self._go_on, host, context=self._bare)
+                        continue
+                    host.busy_until = self._at + host.step_us / SECOND
+            self.turns += 1
+            handle_._run()
+
+    def _go_on(self, host: Host) -> None:
+        """A slow host takes up the next thing."""
+        if host.dead or host.frozen:
+            return
+        if host.parked:
+            handle = host.parked.popleft()
+            if not handle._cancelled:
+                host.busy_until = self._at + host.step_us / SECOND
+                handle._run()
+            if host.parked:
+                if host.step_us:
+                    self.call_at(host.busy_until, self._go_on, host, context=self._bare)
+                else:
+                    self.unpark(host)
+
+    def _process_events(self, events: Any) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def later(self, delay_us: int, host: Host | None, call: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """Call something on a host after a while."""
+        context = host.context if host is not None else self._bare
+        return self.call_at(self._at + delay_us / SECOND, call, *args, context=context)
--- /dev/null
+++ b/oatport/lab/world/machine.py
@@ -0,0 +1,120 @@
+"""A worker's machine on the network: when it reports, to whom, and how it is reached."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from oatport import wire
+from oatport.clients.http import NoAnswer
+from oatport.lab.world.loop import Host
+from oatport.lab.world.net import Net
+from oatport.lab.world.worker import Worker
+from oatport.settings import Workers
+from oatport.times import MS, SECOND, micros, seconds
+
+REPORT_WITHIN = 4 * SECOND
+LEAST_GAP = 500 * MS
+
+
+class MachineHost:
+    def __init__(
+        self, net: Net, host: Host, worker: Worker, nodes: dict[str, str], timing: Workers, rng: random.Random
+    ) -> None:
+        self._net, self.host, self.worker, self._rng = net, host, worker, rng
+        self._names, self._addresses = list(nodes), list(nodes.values())
+        self._at = rng.randrange(len(nodes))
+        self._report_us = micros(timing.report_s)
+        self._half_lease = micros(timing.lease_s) // 2
+        self._changed = asyncio.Event()
+        self._told: tuple[Any, ...] = ()
+        self._token_told_at = -self._half_lease
+        self._timer: asyncio.TimerHandle | None = None
+        worker.stirred = self._soon
+        net.listen(worker.address, host, self._serve)
+
+    def start(self) -> None:
+        self.host.loop.create_task(self.run(), context=self.host.context)
+        self._soon()
+
+    def end(self, why: str) -> None:
+        """The machine and all on it are gone."""
+        self.worker.kill(why)
+        self._net.unplugged(self.worker.address)
+        self.host.end()
+
+    def _soon(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.host.loop.later(0, self.host, self._wake)
+
+    def _wake(self) -> None:
+        """Let what is due happen, report what changed, and come back when the next thing is due."""
+        self.worker.advance()
+        if self._signature() != self._told:
+            self._changed.set()
+        delay = max(self.worker.next_at() - self.host.steady(), 0) + MS
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.host.loop.later(delay, self.host, self._wake)
+
+    def _signature(self) -> tuple[Any, ...]:
+        worker = self.worker
+        return (worker.session, worker.taken_at, tuple((key, held.status) for key, held in worker.tasks.items()))
+
+    def _serve(self, method: str, target: str, body: Any) -> tuple[int, Any]:
+        if target == wire.SHOW:
+            return 200, self.worker.report()
+        token = self.worker.token
+        answer = self.worker.commands(body)
+        self._soon()
+        self._token_changed(token)
+        return answer
+
+    def _token_changed(self, before: int) -> None:
+        """A higher token counts as a change at most once in half of the lease."""
+        now = self.host.steady()
+        if self.worker.token > before and now - self._token_told_at >= self._half_lease:
+            self._token_told_at = now
+            self._changed.set()
+
+    async def run(self) -> None:
+        host = self.host
+        sent = -SECOND
+        due = host.steady() + self._rng.randrange(self._report_us)
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, seconds(due - host.steady()))):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            gap = sent + LEAST_GAP - host.steady()
+            if gap > 0:
+                await asyncio.sleep(seconds(gap))
+            self._changed.clear()
+            self.worker.advance()
+            sent = host.steady()
+            due = await self._report(sent)
+            self._soon()
+
+    async def _report(self, sent: int) -> int:
+        """Send one; when the next is due."""
+        worker, host = self.worker, self.host
+        body, session, token = worker.report(), worker.session, worker.token
+        self._told = self._signature()
+        try:
+            status, value = await self._net.request(
+                host, self._addresses[self._at], "POST", wire.REPORT, body, REPORT_WITHIN, "")
+        except NoAnswer:
+            status, value = 0, None
+        if status == 200:
+            worker.answer(sent, session, value)
+            self._token_changed(token)
+            return sent + round(self._report_us * self._rng.uniform(0.75, 1.25))
+        named = value.get("harbormaster") if status == 421 and isinstance(value, dict) else None
+        if named in self._names and self._names.index(named) != self._at:
+            self._at = self._names.index(named)
+            return host.steady() + self._rng.randrange(LEAST_GAP)
+        self._at = (self._at + 1) % len(self._names)
+        return host.steady() + SECOND
--- /dev/null
+++ b/oatport/lab/world/net.py
@@ -0,0 +1,331 @@
+"""The network between hosts: two links for each pair, one each way, on which requests and answers travel.
+
+A request goes out on a kept-alive connection if there is one, else a connection is made first: it comes about only
+while both links carry, and one that was given up never completes later. What was sent on a connection arrives
+whatever its sender does meanwhile: when the link carries again (`hold`; each connection in its own time, since they
+try again at longer and longer intervals), or never (`lost`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from oatport import wire
+from oatport.api.server import Answer, BodyTooLarge, Handler
+from oatport.clients.http import NoAnswer, NotSent
+from oatport.lab.world.loop import Host, VirtualLoop
+from oatport.times import MS, SECOND
+
+LATENCY = MS // 2
+KEPT = 30 * SECOND  # an idle connection is closed after this
+RESENT = 200 * MS  # a lost packet comes again
+LATE, LATE_MOST = 300 * MS, 12 * SECOND  # after a cut, until a connection tries again
+KNOCK = SECOND  # so is a connection attempt
+MESSAGES_KEPT = 6_000
+
+Serve = Callable[[str, str, Any], Any]  # method, path and body to (status, value), now or awaited
+
+
+@dataclass(frozen=True)
+class Rule:
+    """What the network does to messages from hosts with one tag to hosts with another."""
+
+    source: str
+    target: str
+    what: str  # hold, lost, refuse (connections), slow, lossy
+    unless: str = ""  # not between two hosts that both have this tag
+    amount: float = 0.0  # seconds more, or the share lost
+
+    def covers(self, source: Host, target: Host) -> bool:
+        return (
+            self.source in source.tags and self.target in target.tags
+            and not (self.unless and self.unless in source.tags and self.unless in target.tags)
+        )
+
+
+@dataclass(slots=True)
+class Link:
+    """One way between two hosts. Each message is on a connection of its own for as long as it is under way."""
+
+    source: Host
+    target: Host
+    held: deque[tuple[Host, Callable[[], None]]] = field(default_factory=deque)
+
+
+@dataclass(slots=True, eq=False)
+class Wait:
+    """One request under way, as its sender sees it."""
+
+    future: asyncio.Future[tuple[int, bytes]]
+    sent: bool = False
+
+
+class Net:
+    def __init__(self, loop: VirtualLoop, seed: int) -> None:
+        self.loop = loop
+        self._rng = random.Random(seed)
+        self._links: dict[tuple[Host, Host], Link] = {}
+        self._served: dict[str, tuple[Host, Serve]] = {}
+        self._hosts: dict[str, Host] = {}  # by address, also of those that do not listen
+        self._idle: dict[tuple[Host, str], deque[float]] = {}  # until when kept-alive connections are usable
+        self._serving: dict[Host, dict[Wait, Host]] = {}
+        self.rules: list[Rule] = []
+        self.denied: list[tuple[str, str]] = []  # (host's name, address): answered 503, and nothing else
+        self.messages: deque[str] = deque(maxlen=MESSAGES_KEPT)
+        self.sent = 0
+        self.tells = False  # messages are kept with what they say
+        self.closed = False  # the run is over: nobody is reached any more
+        self.digest = 0  # of all messages: the same seed gives the same one
+
+    # --- hosts ------------------------------------------------------------------------------
+
+    def at(self, address: str, host: Host) -> None:
+        """An address belongs to a host."""
+        self._hosts[address] = host
+
+    def listen(self, address: str, host: Host, serve: Serve) -> None:
+        self._hosts[address] = host
+        self._served[address] = (host, serve)
+
+    def ended(self, host: Host) -> None:
+        """A process is gone: its connections are reset, its port refuses."""
+        for address in [a for a, (owner, _) in self._served.items() if owner is host]:
+            del self._served[address]
+        for key in [k for k in self._idle if k[0] is host or self._hosts.get(k[1]) is host]:
+            del self._idle[key]
+        for wait, caller in self._serving.pop(host, {}).items():
+            self._travel(host, caller, lambda wait=wait: self._fail(wait, NoAnswer("reset")))  # type: ignore[misc]
+
+    def unplugged(self, address: str) -> None:
+        """A machine is gone: connections to it hang."""
+        self._served.pop(address, None)
+        host = self._hosts.get(address)
+        for key in [k for k in self._idle if k[1] == address or k[0] is host]:
+            del self._idle[key]
+
+    # --- links ------------------------------------------------------------------------------
+
+    def add(self, rule: Rule) -> None:
+        self.rules.append(rule)
+        if rule.what == "lost":  # such a cut resets what is open
+            for key in list(self._idle):
+                target = self._hosts.get(key[1])
+                if target is not None and (rule.covers(key[0], target) or rule.covers(target, key[0])):
+                    del self._idle[key]
+
+    def remove(self, rule: Rule) -> None:
+        self.rules.remove(rule)
+        for link in list(self._links.values()):
+            if link.held and not self._cut(link.source, link.target):
+                held, link.held = link.held, deque()
+                for host, call in held:
+                    slow = self._rng.random() < 0.25
+                    self._arrive(link, host, call, self._rng.randrange(LATE_MOST if slow else LATE))
+
+    def _what(self, source: Host, target: Host, what: str) -> float | None:
+        """What rules of a kind add up to on a link; None: there is none."""
+        found = [rule.amount for rule in self.rules if rule.what == what and rule.covers(source, target)]
+        return sum(found) if found else None
+
+    def _cut(self, source: Host, target: Host) -> str:
+        for rule in self.rules:
+            if rule.what in ("hold", "lost") and rule.covers(source, target):
+                return rule.what
+        return ""
+
+    def _travel(self, source: Host, target: Host, call: Callable[[], None]) -> None:
+        """Bring a message over: `call` happens on the target when it arrives."""
+        link = self._links.get((source, target))
+        if link is None:
+            link = self._links[source, target] = Link(source, target)
+        cut = self._cut(source, target) if self.rules else ""
+        if cut == "lost":
+            return
+        if cut:
+            link.held.append((target, call))
+            return
+        self._arrive(link, target, call)
+
+    def _arrive(self, link: Link, host: Host, call: Callable[[], None], late: int = 0) -> None:
+        delay = LATENCY + self._rng.randrange(LATENCY)
+        if self.rules:
+            delay += round((self._what(link.source, host, "slow") or 0.0) * SECOND)
+            if self._rng.random() < (self._what(link.source, host, "lossy") or 0.0):
+                delay += RESENT
+        self.loop.call_at(self.loop.time() + (delay + late) / SECOND, call, context=host.context)
+
+    # --- requests ---------------------------------------------------------------------------
+
+    async def request(
+        self, source: Host, address: str, method: str, path: str, body: Any, timeout_us: int, query: str
+    ) -> tuple[int, Any]:
+        if self.closed:
+            raise NotSent("the run is over")
+        data = None if body is None else wire.dumps(body)
+        wait = Wait(self.loop.create_future())
+        timer = self.loop.later(timeout_us, source, self._fail, wait, NoAnswer("timeout"))
+        target = f"{path}?{query}" if query else path
+        try:
+            await self._connect(source, address, wait)
+            wait.sent = True
+            self._note(source, address, method, target, data)
+            host = self._hosts[address]
+            self._travel(source, host, lambda: self._serve(source, host, address, method, target, data, wait))
+            status, raw = await wait.future
+        finally:
+            timer.cancel()
+        self._idle.setdefault((source, address), deque()).append(self.loop.time() + KEPT / SECOND)
+        return status, wire.loads(raw) if raw else None
+
+    async def _connect(self, source: Host, address: str, wait: Wait) -> None:
+        idle = self._idle.get((source, address))
+        while idle:
+            if idle.pop() > self.loop.time():
+                return
+        while not wait.future.done():
+            host = self._hosts.get(address)
+            if host is not None and not (self._cut(source, host) or self._cut(host, source)):
+                if self._what(source, host, "refuse") is not None or (address not in self._served and not host.dead):
+                    raise NotSent("refused")
+                if address in self._served:
+                    await asyncio.sleep(2 * LATENCY / SECOND)
+                    if not (self._cut(source, host) or self._cut(host, source)):
+                        return
+                elif "node" in host.tags:
+                    raise NotSent("refused")  # its machine is up, the process is not
+            # Nobody answers: knocked again until the caller gives up.
+            await asyncio.wait([wait.future], timeout=KNOCK / SECOND)
+        await wait.future
+
+    def _serve(
+        self, source: Host, host: Host, address: str, method: str, target: str, data: bytes | None, wait: Wait
+    ) -> None:
+        served = self._served.get(address)
+        if served is None or served[0] is not host:
+            return
+        if self.denied and (source.name, address) in self.denied:
+            self._reply(host, source, (503, None), wait)
+            return
+        try:
+            value = served[1](method, target, wire.loads(data) if data else None)
+        except wire.BadMessage:
+            value = (400, None)
+        if inspect.isawaitable(value):
+            self._serving.setdefault(host, {})[wait] = source
+            task = self.loop.create_task(self._answer(host, source, value, wait), context=host.context)
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+            return
+        self._reply(host, source, value, wait)
+
+    async def _answer(self, host: Host, source: Host, value: Any, wait: Wait) -> None:
+        try:
+            self._reply(host, source, await value, wait)
+        finally:
+            self._serving.get(host, {}).pop(wait, None)
+
+    def _reply(self, host: Host, source: Host, value: tuple[int, Any], wait: Wait) -> None:
+        raw = b"" if value[1] is None else wire.dumps(value[1])
+
+        def come() -> None:
+            if not wait.future.done():
+                wait.future.set_result((value[0], raw))
+
+        self._travel(host, source, come)
+
+    @staticmethod
+    def _fail(wait: Wait, error: Exception) -> None:
+        if not wait.future.done():
+            wait.future.set_exception(error)
+
+    def _note(self, source: Host, address: str, method: str, target: str, data: bytes | None) -> None:
+        self.sent += 1
+        line = f"{self.loop.time() - 1000:10.4f} {source.name} -> {self._hosts[address].name} {method} {target}"
+        self.digest = zlib.crc32(line.encode(), self.digest)
+        if data:
+            self.digest = zlib.crc32(data, self.digest)
+        self.messages.append(f"{line} {wire.loads(data)}" if self.tells and data else line)
+
+
+class Client:
+    """What a host asks one address by (`clients.http.Requester`)."""
+
+    def __init__(self, net: Net, host: Host, address: str) -> None:
+        self._net, self._host, self._address = net, host, address
+
+    async def request(
+        self, method: str, path: str, body: Any = None, *, timeout_us: int, query: str = ""
+    ) -> tuple[int, Any]:
+        return await self._net.request(self._host, self._address, method, path, body, timeout_us, query)
+
+
+class _Body:
+    """A request's body as `api.server.BodyReader` has it."""
+
+    def __init__(self, value: Any, limit: int) -> None:
+        self._value, self._limit = value, limit
+
+    async def read(self) -> Any:
+        if self._value is None:
+            raise wire.BadMessage("empty")
+        return self._value
+
+
+class NodeNetwork:
+    """A node's network (`service.network.Network`)."""
+
+    def __init__(self, net: Net, host: Host) -> None:
+        self._net, self._host = net, host
+
+    def open(self) -> None:
+        pass
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        raise NotImplementedError("no price feeds here")
+
+    def client(self, address: str) -> Client:
+        return Client(self._net, self._host, address)
+
+    def server(self, address: str, handler: Handler, body_limit: int = wire.BODY_LIMIT) -> _Listener:
+        return _Listener(self._net, self._host, address, handler, body_limit)
+
+    async def close(self) -> None:
+        pass
+
+
+class _Listener:
+    def __init__(self, net: Net, host: Host, address: str, handler: Handler, limit: int) -> None:
+        self._net, self._host, self._address, self._handler, self._limit = net, host, address, handler, limit
+
+    async def start(self) -> None:
+        self._net.listen(self._address, self._host, self._serve)
+
+    async def close(self) -> None:
+        pass
+
+    async def _serve(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+        try:
+            answer = await self._handler(method, path, _Body(body, self._limit))  # type: ignore[arg-type]
+        except BodyTooLarge:
+            answer = Answer(413)
+        except wire.BadMessage as error:
+            answer = Answer(400, {"error": str(error)})
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            self._net.loop.errors.append(f"{self._host.name} {method} {path}: {error!r}")
+            answer = Answer(500)
+        value = answer.value
+        after = answer.headers.get("Retry-After")
+        if after is not None and isinstance(value, dict):
+            value = {**value, "retryAfter": int(after)}
+        return answer.status, value
--- /dev/null
+++ b/oatport/lab/world/state.py
@@ -0,0 +1,203 @@
+"""The state service: PROTOCOL's rules on an injected clock (microseconds), and the service around them."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from oatport import wire
+from oatport.lab.world.loop import Host
+from oatport.times import MS, SECOND, seconds
+
+Answer = tuple[int, Any]
+
+CHANGES_KEPT = 10_000
+
+
+class KeyStore:
+    """Keys, versions, leases and changes."""
+
+    def __init__(self, clock: Callable[[], int], value_limit: int = 32 * 1024, ops_limit: int = 16) -> None:
+        self._clock = clock
+        self.value_limit = value_limit
+        self.ops_limit = ops_limit
+        self.items: dict[str, tuple[Any, int, int | None]] = {}  # key -> value, version, lease
+        self.leases: dict[int, tuple[int, int]] = {}  # id -> (ends at, life)
+        self.log: list[tuple[int, str, Any]] = []
+        self.revision = 0
+        self._next_lease = 1
+        self._dropped = 0  # changes up to this revision are not kept any more
+        self.changed = asyncio.Event()
+        self.commits = 0
+
+    def expire(self) -> None:
+        now = self._clock()
+        for lease in [i for i, (ends, _) in self.leases.items() if ends <= now]:
+            self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        keys = [k for k, (_, _, owner) in self.items.items() if owner == lease]
+        if keys:
+            self._apply([{"drop": key} for key in keys])
+
+    def renew_all(self) -> None:
+        """After an outage all leases have their full time again."""
+        now = self._clock()
+        self.leases = {lease: (now + life, life) for lease, (_, life) in self.leases.items()}
+
+    def _apply(self, ops: list[dict[str, Any]]) -> int:
+        if ops:
+            self.revision += 1
+        for op in ops:
+            if "set" in op:
+                self.items[op["set"]] = (op["value"], self.revision, op.get("permit"))
+                self.log.append((self.revision, op["set"], op["value"]))
+            else:
+                self.items.pop(op["drop"], None)
+                self.log.append((self.revision, op["drop"], None))
+        if len(self.log) > 2 * CHANGES_KEPT:
+            self._dropped = self.log[-CHANGES_KEPT - 1][0]
+            del self.log[:-CHANGES_KEPT]
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+    def get(self, key: str) -> Answer:
+        self.expire()
+        if key not in self.items:
+            return 404, {"ledgerRev": self.revision}
+        value, version, lease = self.items[key]
+        return 200, {"path": key, "value": value, "entryRev": version, "permit": lease}
+
+    def list(self, under: str, after: str = "", page: int = 1000) -> Answer:
+        self.expire()
+        keys = sorted(k for k in self.items if k.startswith(under) and k > after)
+        rows = [{"path": k, "value": self.items[k][0], "entryRev": self.items[k][1]} for k in keys[:page]]
+        return 200, {"rows": rows, "hasNext": len(keys) > page, "ledgerRev": self.revision}
+
+    def commit(self, body: dict[str, Any]) -> Answer:
+        self.expire()
+        self.commits += 1
+        ops = body.get("then") or []
+        if len(ops) > self.ops_limit or len(body.get("if") or []) > 4 * self.ops_limit:
+            return 400, {"error": "too many"}
+        for op in ops:
+            if op.get("permit") is not None and op["permit"] not in self.leases:
+                return 400, {"error": "no such lease"}
+        failed = [
+            c["path"] for c in body.get("if") or []
+            if (self.items[c["path"]][1] if c["path"] in self.items else 0) != c["entryRev"]
+        ]
+        if failed:
+            return 409, {"failed": failed, "ledgerRev": self.revision}
+        return 200, {"ledgerRev": self._apply(ops)}
+
+    def hold(self, life_ms: int) -> Answer:
+        lease, self._next_lease = self._next_lease, self._next_lease + 1
+        self.leases[lease] = (self._clock() + life_ms * 1000, life_ms * 1000)
+        return 200, {"permit": lease}
+
+    def touch(self, lease: int) -> Answer:
+        self.expire()
+        if lease not in self.leases:
+            return 404, None
+        life = self.leases[lease][1]
+        self.leases[lease] = (self._clock() + life, life)
+        return 200, {"permit": lease}
+
+    def changes(self, under: str, after: int) -> Answer:
+        self.expire()
+        if after < self._dropped:
+            return 410, None
+        news: list[dict[str, Any]] = []
+        for revision, key, value in self.log[bisect.bisect_right(self.log, after, key=lambda row: row[0]):]:
+            if key.startswith(under):
+                news.append({"drop": key, "entryRev": revision} if value is None
+                            else {"set": key, "value": value, "entryRev": revision})
+        return 200, {"ledgerRev": self.revision, "news": news}
+
+
+class StateService:
+    """The store behind its address: limits, delays, outages, and nodes that it refuses."""
+
+    def __init__(self, host: Host, rng: random.Random, rps: float, write_rps: float, store: KeyStore) -> None:
+        self._host, self._rng, self.store = host, rng, store
+        self._rates = {"requests": [rps, rps, 0.0], "changes": [write_rps, write_rps, 0.0]}  # rate, level, as of
+        self.down = False
+        self.slow_share = 0.01
+        self.asked: Counter[str] = Counter()
+
+    def set_down(self, down: bool) -> None:
+        if self.down and not down:
+            self.store.renew_all()
+        self.down = down
+
+    def _spend(self, what: str, count: int) -> bool:
+        rate, level, at = self._rates[what]
+        now = self._host.loop.time()
+        level = min(rate, level + (now - at) * rate)
+        allowed = level >= count
+        self._rates[what] = [rate, level - count if allowed else level, now]
+        return allowed
+
+    async def serve(self, method: str, target: str, body: Any) -> Answer:
+        self.asked["requests"] += 1
+        delay = 2 * MS + self._rng.randrange(6 * MS)
+        if self._rng.random() < self.slow_share:
+            delay = 100 * MS + self._rng.randrange(300 * MS)
+        await asyncio.sleep(seconds(delay))
+        if self.down:
+            return 503, None
+        if not self._spend("requests", 1):
+            self.asked["429"] += 1
+            return 429, None
+        path, _, query = target.partition("?")
+        if path == wire.COMMIT:
+            count = len(body.get("then") or [])
+            self.asked["changes"] += count
+            if not self._spend("changes", count):
+                self.asked["429"] += 1
+                return 429, None
+            return self.store.commit(body)
+        if path == wire.HOLDS:
+            return self.store.hold(body["lifeMs"])
+        if path.startswith(wire.HOLDS):
+            return self.store.touch(int(path.split("/")[2]))
+        asked = {key: values[0] for key, values in parse_qs(query).items()}
+        if path == wire.CHANGES:
+            return await self._watch(asked["under"], int(asked["from"]), int(asked.get("waitMs", 0)))
+        if path == wire.STORE:
+            return self.store.list(asked["under"], asked.get("from", ""), min(int(asked.get("page", 1000)), 1000))
+        return self.store.get(path[len(wire.STORE) + 1:])
+
+    async def _watch(self, under: str, after: int, wait_ms: int) -> Answer:
+        until = self._host.loop.time() + wait_ms / 1000
+        while True:
+            status, value = self.store.changes(under, after)
+            if status != 200 or ((value["news"] or self._host.loop.time() >= until) and not self.down):
+                return status, value
+            # Leases end by time as well: looked at now and then, as the service itself does. In an outage it waits on.
+            pause = min(0.1, max(until - self._host.loop.time(), 0.01))
+            try:
+                async with asyncio.timeout(pause):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                pass
+            if self.down:
+                await asyncio.sleep(0.1)
+
+
+def leader_of(store: KeyStore) -> str | None:
+    """Who holds the key of the lead, as the store has it now."""
+    store.expire()
+    found = store.items.get("leader")
+    return str(found[0].get("node")) if found is not None and isinstance(found[0], dict) else None
+
+
+__all__ = ["SECOND", "KeyStore", "StateService", "leader_of"]
--- /dev/null
+++ b/oatport/lab/world/users.py
@@ -0,0 +1,164 @@
+"""Users behind the balancer: they submit, poll and cancel, and remember what they were told."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from oatport import wire
+from oatport.clients.http import NoAnswer, NotSent
+from oatport.lab.world.loop import Host, VirtualLoop
+from oatport.lab.world.net import Net
+from oatport.times import SECOND
+
+PROBE_EVERY, PROBE_WITHIN = 1.0, SECOND
+SUBMIT_WITHIN, POLL_WITHIN = 5 * SECOND, 2 * SECOND
+TRIED_FOR = 60.0
+POLL_EVERY = 5.0
+
+
+@dataclass
+class Seen:
+    """A node as the balancer sees it."""
+
+    address: str
+    healthy: bool = False
+    ever: bool = False
+    good: int = 0
+    last: list[bool] = field(default_factory=list)
+    bad_until: float = 0.0
+    pause: float = 3.0
+    removed_at: float = -1000.0
+    open: int = 0
+
+
+class Balancer:
+    """Chooses a healthy node for each new connection (PROTOCOL, "Users -> controller nodes")."""
+
+    def __init__(self, loop: VirtualLoop, net: Net, host: Host, addresses: list[str]) -> None:
+        self._loop, self._net, self._host = loop, net, host
+        self.nodes = [Seen(address) for address in addresses]
+
+    async def probe(self, seen: Seen) -> None:
+        while True:
+            await asyncio.sleep(PROBE_EVERY)
+            try:
+                status, _ = await self._net.request(
+                    self._host, seen.address, "GET", wire.READY, None, PROBE_WITHIN, "")
+            except NoAnswer:
+                status = 0
+            self._judge(seen, status == 200)
+
+    def _judge(self, seen: Seen, good: bool) -> None:
+        now = self._loop.time()
+        seen.last = [*seen.last[-5:], good]
+        seen.good = seen.good + 1 if good else 0
+        if seen.healthy and (seen.last[-2:] == [False, False] or seen.last.count(False) >= 3):
+            seen.healthy = False
+            seen.pause = min(60.0, 2 * seen.pause) if now - seen.removed_at < 120 else 3.0
+            seen.removed_at, seen.bad_until = now, now + seen.pause
+            seen.last = []
+        elif not seen.healthy and good and (not seen.ever or (seen.good >= 2 and now >= seen.bad_until)):
+            seen.healthy = seen.ever = True
+
+    async def ask(self, user: Host, method: str, path: str, body: Any, timeout_us: int) -> tuple[int, Any]:
+        """One request on a connection of its own. Raises NoAnswer."""
+        tried: list[Seen] = []
+        for _ in range(3):
+            left = [seen for seen in self.nodes if seen.healthy and seen not in tried]
+            if not left:
+                break
+            seen = min(left, key=lambda s: s.open)
+            tried.append(seen)
+            seen.open += 1
+            try:
+                return await self._net.request(user, seen.address, method, path, body, timeout_us, "")
+            except NotSent:
+                continue
+            finally:
+                seen.open -= 1
+        raise NoAnswer("no healthy node")
+
+
+@dataclass(eq=False)
+class Ask:
+    """A job as its user has it: what is wanted, and what was told."""
+
+    body: dict[str, Any]
+    at: float
+    cancel_at: float | None = None
+    accepted_at: float | None = None
+    mistaken: bool = False  # it fails on every machine, until its user cancels it
+    refused: int = 0
+    cancelled_at: float | None = None  # when it was told
+    done_at: float | None = None
+    gave_up: bool = False
+    started_at: float | None = None  # the first task of it ran
+    completed_at: float | None = None  # the last one did
+    completed: int = 0
+    up_us: int = 0  # time that replicas ran
+
+    @property
+    def ref(self) -> str:
+        return str(self.body["ref"])
+
+
+class User:
+    """One user's dealings with one job; `told` hears every answer."""
+
+    def __init__(
+        self, balancer: Balancer, host: Host, ask: Ask, rng: random.Random,
+        told: Callable[[Ask, str, int, Any], None],
+    ) -> None:
+        self._balancer, self._host, self.ask, self._rng, self._told = balancer, host, ask, rng, told
+
+    async def live(self) -> None:
+        loop, ask = self._host.loop, self.ask
+        await asyncio.sleep(max(0.0, ask.at - loop.time()))
+        if not await self._until("submit", "POST", wire.SUBMISSIONS, ask.body, (200, 201), (400, 422)):
+            ask.gave_up = ask.accepted_at is None
+            return
+        ask.accepted_at = loop.time()
+        if self._rng.random() < 0.1:  # a retry that comes late
+            loop.later(round(self._rng.uniform(1, 30) * SECOND), self._host, self._again)
+        while True:
+            await asyncio.sleep(POLL_EVERY * self._rng.uniform(0.9, 1.1))
+            if ask.cancel_at is not None and loop.time() >= ask.cancel_at and ask.cancelled_at is None:
+                path = f"{wire.SUBMISSIONS}/{ask.ref}/cancel"
+                if await self._until("cancel", "POST", path, None, (200,), ()):
+                    await asyncio.sleep(self._rng.uniform(1, 20))
+                    await self._once("poll", "GET", f"{wire.SUBMISSIONS}/{ask.ref}", None, POLL_WITHIN)
+                    return
+            await self._once("poll", "GET", f"{wire.SUBMISSIONS}/{ask.ref}", None, POLL_WITHIN)
+            if ask.done_at is not None:
+                await asyncio.sleep(self._rng.uniform(1, 40))
+                await self._once("poll", "GET", f"{wire.SUBMISSIONS}/{ask.ref}", None, POLL_WITHIN)
+                return
+
+    def _again(self) -> None:
+        self._host.loop.create_task(self._once("submit", "POST", wire.SUBMISSIONS, self.ask.body, SUBMIT_WITHIN))
+
+    async def _once(self, what: str, method: str, path: str, body: Any, within: int) -> tuple[int, Any]:
+        try:
+            status, value = await self._balancer.ask(self._host, method, path, body, within)
+        except NoAnswer:
+            status, value = 0, None
+        self._told(self.ask, what, status, value)
+        return status, value
+
+    async def _until(
+        self, what: str, method: str, path: str, body: Any, good: tuple[int, ...], final: tuple[int, ...]
+    ) -> bool:
+        loop = self._host.loop
+        until = loop.time() + TRIED_FOR
+        while loop.time() < until:
+            status, value = await self._once(what, method, path, body, SUBMIT_WITHIN)
+            if status in good or status in final:
+                return status in good
+            self.ask.refused += what == "submit"
+            after = value.get("retryAfter", 0) if isinstance(value, dict) else 0
+            await asyncio.sleep(max(1.0, min(30.0, float(after))) + self._rng.random())
+        return False
--- /dev/null
+++ b/oatport/lab/world/world.py
@@ -0,0 +1,389 @@
+"""A world: real nodes in virtual time, everything around them modelled, troubles by plan, judged from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextvars import Context
+from dataclasses import dataclass, field
+from typing import Any
+
+from oatport.lab.world import deployment
+from oatport.lab.world.checker import Checker
+from oatport.lab.world.cloud import CloudService, Registry, boot_us
+from oatport.lab.world.loop import Host, VirtualLoop
+from oatport.lab.world.machine import MachineHost
+from oatport.lab.world.net import Net, NodeNetwork, Rule
+from oatport.lab.world.plan import LEADER, Fault, Plan
+from oatport.lab.world.state import KeyStore, StateService, leader_of
+from oatport.lab.world.users import Balancer, User
+from oatport.lab.world.worker import Gangs, Worker
+from oatport.service.node import Node
+from oatport.settings import Tuning
+from oatport.times import SECOND, micros, seconds
+
+EVERY = "any"  # a tag that all hosts have
+SAMPLE_S = 0.25
+STRANGERS = 5  # polls for jobs that nobody submitted
+FAILED_AFTER = 30 * SECOND  # a machine that died is listed as running for so long
+
+
+@dataclass
+class Result:
+    seed: int
+    violations: list[str]
+    errors: list[str]
+    digest: int
+    messages: int
+    counts: dict[str, int]
+    leaderless_s_max: float
+    by_class: dict[str, dict[str, float]]
+    by_team: dict[str, dict[str, float]]
+    last: list[str] = field(default_factory=list)  # the newest messages when a rule first broke
+
+    def least(self, rows: dict[str, dict[str, float]]) -> float:
+        return min((min(row.values()) for row in rows.values()), default=1.0)
+
+
+class World:
+    """One run. `tuning`: operators' settings of all nodes; `clusters`: settings of single nodes that differ."""
+
+    def __init__(self, plan: Plan, seed: int, tuning: Tuning | None = None) -> None:
+        self.plan, self.seed = plan, seed
+        self.tuning = tuning or Tuning()
+        self.loop = VirtualLoop()
+        self.net = Net(self.loop, seed)
+        self.settings = deployment.cluster_settings(plan)
+        self._rng = random.Random(f"world {seed}")
+        self.checker = Checker(self.loop, self.settings)
+        self.checker.on_first = self._remember
+        self._last: list[str] = []
+        self.nodes: dict[str, Node] = {}
+        self.hosts: dict[str, Host] = {}  # of nodes
+        self.machines: dict[str, MachineHost] = {}
+        self.results: set[str] = set()
+        self.progress: dict[str, int] = {}
+        self.gangs = Gangs(micros(self.settings.workers.gang_wait_s), micros(self.settings.workers.gang_peer_s))
+        self._boots = dict.fromkeys(deployment.node_addresses(plan), 0)
+        self._leaderless = self._leaderless_most = 0.0
+        self._make_services()
+
+    # --- building ---------------------------------------------------------------------------
+
+    def _make_services(self) -> None:
+        limits = self.settings.state
+        host = Host(self.loop, "state", EVERY)
+        self.store = KeyStore(self.loop.now, int(limits.value_kb * 1024), limits.txn_ops)
+        self.state = StateService(host, random.Random(f"state {self.seed}"), limits.rps, limits.write_rps, self.store)
+        self.net.listen(deployment.STATE, host, self.state.serve)
+        host = Host(self.loop, "cloud", EVERY)
+        self.registry = Registry(deployment.CATALOG, dict(deployment.capacity(self.plan)))
+        self.registry.on_rent, self.registry.on_release = self._rented, self._released
+        self.cloud = CloudService(host, random.Random(f"cloud {self.seed}"), self.registry,
+                                  self.settings.cloud.rps, self.settings.cloud.list_lag_s)
+        self.net.listen(deployment.CLOUD, host, self.cloud.serve)
+        self.people = Host(self.loop, "users", EVERY)
+
+    def start_node(self, name: str) -> None:
+        rng = self._rng
+        host = Host(self.loop, name, EVERY, "node", f"zone:{deployment.node_zone(name)}",
+                    drift=rng.uniform(0, 0.0005), off_us=rng.randrange(-4000, 4000))
+        self._boots[name] += 1
+        settings = deployment.node_settings(self.plan, name, self.settings)
+        for address in (settings.bind, settings.internal_addr):
+            self.net.at(address, host)
+        node = Node(settings, self.tuning, net=NodeNetwork(self.net, host), boot=f"{name}-{self._boots[name]}")
+        self.nodes[name], self.hosts[name] = node, host
+        self.loop.create_task(node.run(), context=host.context)
+
+    def crash_node(self, name: str) -> None:
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            del self.nodes[name]
+            host.end()
+            self.net.ended(host)
+
+    def _rented(self, row: dict[str, Any]) -> None:
+        self.cloud.born[row["ref"]] = self.loop.time()
+        startup = deployment.TYPES[row["berthKind"]].boot_s
+        delay = boot_us(self._rng, startup) if self.loop.time() > 1_001 else 0
+        if self._rng.random() < 0.01:
+            return  # it never comes up, and is charged until it is returned
+        self.loop.later(delay, None, self._boot, row)
+
+    def _boot(self, row: dict[str, Any]) -> None:
+        name = row["ref"]
+        if name not in self.registry.machines:
+            return
+        number = int(name[3:])
+        row["address"], row["status"] = f"10.1.{number // 250}.{number % 250}:9000", "running"
+        rng = random.Random(f"machine {self.seed} {number}")
+        host = Host(self.loop, name, EVERY, "worker", f"zone:{row['harbor']}", drift=rng.uniform(0, 0.0005))
+        kind = deployment.TYPES[row["berthKind"]]
+        worker = Worker(
+            host.steady, name, row["address"], kind.name, row["harbor"], row["driftwood"], kind.cpus, self._job_of,
+            micros(self.settings.workers.lease_s), kind, self.gangs,
+        )
+        worker.results, worker.progress = self.results, self.progress
+        worker.speed = rng.uniform(0.92, 1.05) if rng.random() > 0.03 else 0.3
+        worker.run_us = self._run_us
+        bad = rng.random() < 0.04
+
+        def fails_us(task: str, job: dict[str, Any]) -> int | None:
+            flaky = random.Random(f"flaky {self.seed} {task}").random() < 0.06 and rng.random() < 0.6
+            if self.checker.asks[str(job["ref"])].mistaken or (bad and rng.random() < 0.7) or flaky:
+                return rng.randrange(200_000, 4_000_000)
+            return None
+
+        worker.fails_us = fails_us
+        worker.on_begin, worker.on_end = self.checker.began, self.checker.ended
+        nodes = {name: bind for name, (bind, _) in deployment.node_addresses(self.plan).items()}
+        self.machines[name] = MachineHost(self.net, host, worker, nodes, self.settings.workers, rng)
+        self.machines[name].start()
+
+    def _job_of(self, ref: str) -> dict[str, Any] | None:
+        ask = self.checker.asks.get(ref)
+        return ask.body if ask is not None and ask.at <= self.loop.time() else None
+
+    def _run_us(self, task: str, job: dict[str, Any]) -> int:
+        """How long a task really runs: estimates are off by half and more."""
+        return micros(float(job["voyageS"]) * random.Random(f"{self.seed} {task}").uniform(0.6, 1.5))
+
+    def _released(self, name: str) -> None:
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            machine.end("released")
+
+    # --- a run ------------------------------------------------------------------------------
+
+    def run(self) -> Result:
+        """Play the plan. The same seed and plan give the same run, message by message."""
+        random.seed(self.seed)  # what nodes draw their pauses from
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(asyncio.Task(self._play(), loop=self.loop, context=Context()))
+        finally:
+            errors = list(self.loop.errors)
+            self.checker.close()
+            self.checker.closed = self.net.closed = True
+            self.loop.dissolve()
+            asyncio.set_event_loop(None)
+        counts = {**self.checker.counts, "state_requests": self.state.asked["requests"],
+                  "state_changes": self.state.asked["changes"], "state_429": self.state.asked["429"],
+                  "rentals": self.cloud.asked["rentals"], "machines_rented": self.registry.rented,
+                  "turns": self.loop.turns}
+        return Result(
+            self.seed, self.checker.violations, errors, self.net.digest, self.net.sent, counts,
+            round(self._leaderless_most, 2), self.checker.served("cargo"), self.checker.served("crew"),
+            self._last,
+        )
+
+    def _remember(self) -> None:
+        self._last = list(self.net.messages)
+
+    async def _play(self) -> None:
+        loop, plan = self.loop, self.plan
+        for (kind, zone, spot), count in deployment.capacity(plan).items():
+            for _ in range(count // 2 if not spot else count // 4):
+                self.registry.add(kind, zone, spot)
+        for name in self._boots:
+            self.start_node(name)
+        binds = [bind for bind, _ in deployment.node_addresses(plan).values()]
+        balancer = Balancer(loop, self.net, self.people, binds)
+        for seen in balancer.nodes:
+            loop.create_task(balancer.probe(seen), context=self.people.context)
+        for ask in deployment.jobs(plan, random.Random(f"jobs {self.seed}"), loop.time() + 4.0):
+            self.checker.asks[ask.ref] = ask
+            rng = random.Random(f"user {self.seed} {ask.ref}")
+            user = User(balancer, self.people, ask, rng, self.checker.told)
+            loop.create_task(user.live(), context=self.people.context)
+        loop.create_task(self._strangers(balancer), context=self.people.context)
+        for fault in plan.faults:
+            loop.later(round(fault.at_s * SECOND), None, self._begin, fault)
+        until = loop.time() + plan.for_s
+        next_picture = 0.0
+        while loop.time() < until:
+            if loop.time() >= next_picture:
+                self.cloud.picture()
+                next_picture = loop.time() + 1
+            self._look_for_leader()
+            await asyncio.sleep(SAMPLE_S)
+
+    def _look_for_leader(self) -> None:
+        led = any(
+            node.lead is not None and node.lead.loaded and not node.lead.over and not self.hosts[name].frozen
+            for name, node in self.nodes.items()
+        )
+        self._leaderless = 0.0 if led else self._leaderless + SAMPLE_S
+        self._leaderless_most = max(self._leaderless_most, self._leaderless)
+
+    async def _strangers(self, balancer: Balancer) -> None:
+        for number in range(STRANGERS):
+            await asyncio.sleep(self.plan.for_s / (STRANGERS + 1))
+            ref = f"j-{900_000 + number:06d}"
+            try:
+                status, _ = await balancer.ask(self.people, "GET", f"/submissions/{ref}", None, 2 * SECOND)
+            except Exception:
+                continue
+            self.checker.stranger(ref, status)
+
+    # --- faults -----------------------------------------------------------------------------
+
+    def _named(self, fault: Fault) -> str:
+        if fault.node == LEADER:
+            return leader_of(self.store) or "n0"
+        return fault.node
+
+    def _begin(self, fault: Fault) -> None:
+        end = getattr(self, f"_on_{fault.kind}")(fault)
+        if end is not None:
+            self.loop.later(round(fault.for_s * SECOND), None, end)
+
+    def _ruled(self, *rules: Rule) -> Callable[[], None]:
+        for rule in rules:
+            self.net.add(rule)
+
+        def end() -> None:
+            for rule in rules:
+                self.net.remove(rule)
+
+        return end
+
+    def _cut(self, one: str, other: str, mode: str, way: str = "both", unless: str = "") -> Callable[[], None]:
+        rules = []
+        if way in ("both", "to"):
+            rules.append(Rule(one, other, mode, unless))
+        if way in ("both", "from"):
+            rules.append(Rule(other, one, mode, unless))
+        return self._ruled(*rules)
+
+    def _on_node_cut(self, fault: Fault) -> Callable[[], None]:
+        other = {"all": EVERY, "state": "state", "workers": "worker", "nodes": "node"}[fault.what]
+        return self._cut(self._named(fault), other, fault.mode, fault.way)
+
+    def _on_node_refused(self, fault: Fault) -> Callable[[], None]:
+        row = (self._named(fault), deployment.STATE)
+        self.net.denied.append(row)
+        return lambda: self.net.denied.remove(row)
+
+    def _on_peers_refuse(self, fault: Fault) -> Callable[[], None]:
+        return self._ruled(Rule("node", "node", "refuse"))
+
+    def _on_node_freeze(self, fault: Fault) -> Callable[[], None] | None:
+        host = self.hosts.get(self._named(fault))
+        if host is None or host.frozen:
+            return None
+        host.freeze()
+        return lambda: None if host.dead else host.thaw()
+
+    def _on_node_crash(self, fault: Fault) -> Callable[[], None] | None:
+        name = self._named(fault)
+        if name not in self.hosts:
+            return None
+        self.crash_node(name)
+        return lambda: self.start_node(name)
+
+    def _on_node_slow(self, fault: Fault) -> Callable[[], None] | None:
+        host = self.hosts.get(self._named(fault))
+        if host is None:
+            return None
+        host.step_us = round(50 * fault.amount)
+
+        def end() -> None:
+            host.step_us = 0
+
+        return end
+
+    def _some(self, count: int) -> list[MachineHost]:
+        names = sorted(self.machines)
+        return [self.machines[name] for name in self._rng.sample(names, min(count, len(names)))]
+
+    def _on_machine_cut(self, fault: Fault) -> Callable[[], None]:
+        return self._ruled(*(
+            Rule(*ends, fault.mode) for machine in self._some(fault.count)
+            for ends in ((machine.host.name, EVERY), (EVERY, machine.host.name))
+        ))
+
+    def _on_machine_hang(self, fault: Fault) -> Callable[[], None]:
+        hung = [m for m in self._some(fault.count) if not m.host.frozen]
+        for machine in hung:
+            machine.host.freeze()
+
+        def end() -> None:
+            for machine in hung:
+                if not machine.host.dead:
+                    machine.worker.hung(micros(fault.for_s))
+                    machine.host.thaw()
+
+        return end
+
+    def _on_machine_die(self, fault: Fault) -> None:
+        for machine in self._some(fault.count):
+            name = machine.host.name
+            self.machines.pop(name).end("died")
+            self.loop.later(FAILED_AFTER, None, self._failed, name)
+
+    def _failed(self, name: str) -> None:
+        if name in self.registry.machines:
+            self.registry.machines[name]["status"] = "failed"
+
+    def _on_machines_taken(self, fault: Fault) -> None:
+        for machine in [m for m in self._some(10**6) if m.worker.spot][: fault.count]:
+            if fault.amount > 0:
+                machine.worker.taken_at = machine.host.steady() + micros(fault.amount)
+                machine.worker.stirred()
+            self.loop.later(micros(fault.amount), None, self._taken, machine.host.name)
+
+    def _taken(self, name: str) -> None:
+        if self.registry.machines.pop(name, None) is not None:
+            self._released(name)
+
+    def _on_zone_cut(self, fault: Fault) -> Callable[[], None]:
+        tag = f"zone:{fault.zone}"
+        return self._cut(tag, EVERY, fault.mode, unless=tag)
+
+    def _on_links_cut(self, fault: Fault) -> Callable[[], None]:
+        return self._cut(fault.source, fault.target, fault.mode, "to")
+
+    def _on_links_slow(self, fault: Fault) -> Callable[[], None]:
+        return self._ruled(Rule(fault.source, fault.target, "slow", amount=fault.amount),
+                           Rule(fault.target, fault.source, "slow", amount=fault.amount))
+
+    def _on_links_lossy(self, fault: Fault) -> Callable[[], None]:
+        return self._ruled(Rule(fault.source, fault.target, "lossy", amount=fault.amount),
+                           Rule(fault.target, fault.source, "lossy", amount=fault.amount))
+
+    def _on_state_down(self, fault: Fault) -> Callable[[], None]:
+        self.state.set_down(True)
+        return lambda: self.state.set_down(False)
+
+    def _on_state_slow(self, fault: Fault) -> Callable[[], None]:
+        self.state.slow_share += fault.amount
+
+        def end() -> None:
+            self.state.slow_share -= fault.amount
+
+        return end
+
+    def _on_cloud_down(self, fault: Fault) -> Callable[[], None]:
+        self.cloud.down = True
+
+        def end() -> None:
+            self.cloud.down = False
+
+        return end
+
+    def _on_no_capacity(self, fault: Fault) -> Callable[[], None]:
+        before, self.registry.capacity = self.registry.capacity, {}
+
+        def end() -> None:
+            self.registry.capacity = before
+
+        return end
+
+    def _on_rush(self, fault: Fault) -> None:
+        """It is in the jobs that were drawn."""
+
+
+__all__ = ["Result", "World", "seconds"]
--- a/oatport/service/tasks.py
+++ b/oatport/service/tasks.py
@@ -14,7 +14,7 @@
     """A set of background tasks that end together."""
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: dict[asyncio.Task[Any], None] = {}  # in the order in which they began: runs can be repeated
         self.closed = False
 
     def keep(self, name: str, loop: Callable[[], Awaitable[None]], pause_s: float = 0.5) -> None:
@@ -53,8 +53,8 @@
 
     def _add(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
         return task
 
     def close(self) -> None:
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -17,9 +17,14 @@
 
 from oatport import wire
 from oatport.clients.http import HttpClient, NoAnswer, make_session
-from standins.cloud import FakeCloud
-from standins.state import FakeState
-from standins.worker import FakeWorker
+from oatport.lab.world.cloud import Registry
+from oatport.lab.world.state import KeyStore
+from oatport.lab.world.worker import Worker
+
+TYPES: list[dict[str, Any]] = [{
+    "label": "m8", "cores": 8.0, "accelerators": 0, "memoryGb": 32.0, "cacheGb": 50.0, "fetchGbPerS": 1.0, "price": 1.0,
+    "marketPrice": 0.4, "startupS": 1, "harbors": ["a", "b"],
+}]
 
 
 def clock() -> int:
@@ -40,8 +45,8 @@
 
 class StandIns:
     def __init__(self, state_address: str, cloud_address: str, nodes: dict[str, str], report_s: float = 0.5) -> None:
-        self.state = FakeState(clock)
-        self.cloud = FakeCloud(["a", "b"])
+        self.state = KeyStore(clock)
+        self.cloud = Registry(TYPES)
         self.cloud.on_rent = self._boot
         self.cloud.on_release = self._gone
         self.nodes = nodes
@@ -50,7 +55,7 @@
         self._runners: list[web.ServerRunner] = []
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._worker_runners: dict[str, web.ServerRunner] = {}
-        self.workers: dict[str, FakeWorker] = {}
+        self.workers: dict[str, Worker] = {}
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -141,8 +146,8 @@
         port = runner.addresses[0][1]
         machine["address"], machine["status"] = f"127.0.0.1:{port}", "running"
         self._worker_runners[name] = runner
-        worker = FakeWorker(clock, name, machine["address"], machine["berthKind"], machine["harbor"],
-                            machine["driftwood"], self.cloud.cores, self._job)
+        worker = Worker(clock, name, machine["address"], machine["berthKind"], machine["harbor"],
+                            machine["driftwood"], TYPES[0]["cores"], self._job)
         self.workers[name] = worker
         names = list(self.nodes)
         at = random.choice(names)
--- a/tests/test_dark.py
+++ b/tests/test_dark.py
@@ -12,19 +12,19 @@
 from oatport.control.model import Machine
 from oatport.control.records import DARK_KEY
 from oatport.control.steward import OUT_OF_TOUCH, Steward
+from oatport.lab.world.state import KeyStore
+from oatport.lab.world.worker import Worker
 from oatport.service.node import Node
 from oatport.service.watching import Watcher
 from oatport.settings import Team, Tuning
 from oatport.times import SECOND, steady
-from standins.state import FakeState
-from standins.worker import FakeWorker
 from tests.test_service import FakePeer, leader
 from tests.world import FakeStateClient, World, cluster_settings, node_settings
 
 
 @pytest.fixture
-def state() -> FakeState:
-    return FakeState(lambda: 0)
+def state() -> KeyStore:
+    return KeyStore(lambda: 0)
 
 
 SETTINGS = cluster_settings()  # lease 10 s, cancellation 35 s, reports every second
@@ -78,7 +78,7 @@
     assert world.cluster.carried_out(world.now) == 0
 
 
-async def test_a_zones_node_keeps_its_workers_leases_and_starts_nothing(state: FakeState) -> None:
+async def test_a_zones_node_keeps_its_workers_leases_and_starts_nothing(state: KeyStore) -> None:
     """Half of all tasks were once killed by their leases while a node stood beside them."""
     node = Node(node_settings(), Tuning())
     node.state = client = FakeStateClient(state)  # type: ignore[assignment]
@@ -87,7 +87,7 @@
     peer = FakePeer(["carried out", lead.token, lead.carried_out_age()])
     await node._ask_leader(peer)  # type: ignore[arg-type]
     node.steward.told_at -= 3 * SECOND
-    worker = FakeWorker(lambda: 0, "vm-000001", "h:1", "m8", "a", False, 8.0, lambda ref: None)
+    worker = Worker(lambda: 0, "vm-000001", "h:1", "m8", "a", False, 8.0, lambda ref: None)
     worker.token = lead.token
     report: Any = worker.report()
 
@@ -228,7 +228,7 @@
     assert machine.images == {"img-1": 1}
 
 
-async def test_a_dark_zone_is_kept_and_judged_again_before_anything_is_released(state: FakeState) -> None:
+async def test_a_dark_zone_is_kept_and_judged_again_before_anything_is_released(state: KeyStore) -> None:
     lead, _, home = leader(state)
     home.peers = {"n1": FakePeer(["seen", 0, True]), "n2": FakePeer(None)}
     released: list[str] = []
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,7 +4,7 @@
 
 from oatport.control.model import Machine
 from oatport.control.router import OWNED
-from standins.worker import FakeWorker
+from oatport.lab.world.worker import Worker
 from tests.world import World
 
 
@@ -91,7 +91,7 @@
 
 def test_a_job_wrongly_suspected_is_cleared_by_its_first_task_done() -> None:
     world = World()
-    bad: list[FakeWorker] = [world.machine(1), world.machine(2)]
+    bad: list[Worker] = [world.machine(1), world.machine(2)]
     ref = world.submit(legs=4)
     world.settle()
     fail_all(world, ref)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -21,6 +21,7 @@
 from oatport.clients.state import NoLease
 from oatport.control.mandate import Mandate
 from oatport.lab.queues import Senders, audit
+from oatport.lab.world.state import KeyStore
 from oatport.queues.client import Answers, Sender
 from oatport.queues.core import ACCEPTED, GONE, LATER, REFUSED, UNKNOWN, Outcome
 from oatport.queues.gateway import Gateway
@@ -36,7 +37,6 @@
 from oatport.settings import SettingsError
 from oatport.times import SECOND, steady
 from standins.broker import Broker
-from standins.state import FakeState
 from tests.world import FakeStateClient
 
 FIELDS = {"job_class": "moves", "team": "crew", "image": "img", "cpus": "2"}
@@ -79,7 +79,7 @@
 class Core:
     """Accepts and does what it is told; `outcomes` first."""
 
-    def __init__(self, state: FakeState) -> None:
+    def __init__(self, state: KeyStore) -> None:
         self.state = state
         self.outcomes: list[Outcome] = []
         self.submitted: list[str] = []
@@ -109,7 +109,7 @@
 
     def __init__(self) -> None:
         self.now = 1_000 * SECOND
-        self.state = FakeState(lambda: self.now, ops_limit=16)
+        self.state = KeyStore(lambda: self.now, ops_limit=16)
         self.client = State(self.state)
         self.core = Core(self.state)
         self.store = Store(self.client, 1e6, 1e6, 16)  # type: ignore[arg-type]
@@ -367,7 +367,7 @@
     assert len(heir.published) == 1
 
 
-def gateway_of(state: FakeState, name: str, link: Link | None = None, port: int = 1) -> Gateway:
+def gateway_of(state: KeyStore, name: str, link: Link | None = None, port: int = 1) -> Gateway:
     own = GatewaySettings(name, "h:1", ("h:2",), "127.0.0.1", port, lease_s=1.0, requests_per_s=1e6, changes_per_s=1e6,
                           txn_ops=16, queues=(MOVES,))
 
@@ -384,7 +384,7 @@
 
 
 async def test_gateways_share_parts_and_take_over_those_of_a_dead_one() -> None:
-    state = FakeState(steady, ops_limit=16)
+    state = KeyStore(steady, ops_limit=16)
     first, second = gateway_of(state, "a"), gateway_of(state, "b")
     first.start()
     await until(lambda: len(first.outbox.parts) == PARTS)
@@ -399,7 +399,7 @@
 
 async def test_a_row_written_while_a_part_is_taken_over_is_answered() -> None:
     """It was written after the part's rows were listed, and before the part was known to be ours: nobody told it."""
-    state = FakeState(steady, ops_limit=16)
+    state = KeyStore(steady, ops_limit=16)
     gateway = gateway_of(state, "a")
     listed = gateway.store.rows
     ref = ref_of("moves", "m-1")
@@ -420,7 +420,7 @@
 
 
 async def test_a_second_process_of_the_same_name_leaves_the_first_without_parts() -> None:
-    state = FakeState(steady, ops_limit=16)
+    state = KeyStore(steady, ops_limit=16)
     first, twin = gateway_of(state, "a"), gateway_of(state, "a")
     first.start()
     await until(lambda: len(first.outbox.parts) == PARTS)
@@ -436,7 +436,7 @@
 class Site:
     def __init__(self) -> None:
         self.broker = Broker(heartbeat_s=2)
-        self.state = FakeState(steady, ops_limit=16)
+        self.state = KeyStore(steady, ops_limit=16)
         self.gateways: list[tuple[Gateway, Link]] = []
 
     async def start(self) -> None:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -12,16 +12,16 @@
 from oatport.api.users import Users
 from oatport.control.recovery import read_job
 from oatport.control.repeats import Repeat, load
+from oatport.lab.world.worker import Held, Worker
 from oatport.settings import SettingsError
 from oatport.times import SECOND
-from standins.worker import FakeTask, FakeWorker
 from tests.test_service import leader
 from tests.world import FakeStateClient, World, node_settings
 
 MODES = (Repeat.ANY, Repeat.BEFORE_START, Repeat.NEVER)
 
 
-def world_with(repeat: Repeat, **changes: Any) -> tuple[World, str, FakeWorker]:
+def world_with(repeat: Repeat, **changes: Any) -> tuple[World, str, Worker]:
     """A job of one task; its claim is committed, nothing was sent yet."""
     world = World()
     world.repeats["train"] = repeat
@@ -34,7 +34,7 @@
     return world, ref, worker
 
 
-def running(repeat: Repeat, **changes: Any) -> tuple[World, str, FakeWorker]:
+def running(repeat: Repeat, **changes: Any) -> tuple[World, str, Worker]:
     world, ref, worker = world_with(repeat, **changes)
     world.send()
     world.step(1.0)
@@ -52,7 +52,7 @@
     return world.record(ref), len(starts)
 
 
-GONE: list[FakeWorker] = []
+GONE: list[Worker] = []
 
 
 @pytest.fixture(autouse=True)
@@ -60,30 +60,30 @@
     GONE.clear()
 
 
-def release(world: World, worker: FakeWorker) -> None:
+def release(world: World, worker: Worker) -> None:
     GONE.append(worker)
     world.refused.discard(worker.name)
     world.released(worker.name)
 
 
-def taken_back(world: World, worker: FakeWorker) -> None:
+def taken_back(world: World, worker: Worker) -> None:
     release(world, worker)
 
 
-def silent_and_released(world: World, worker: FakeWorker) -> None:
+def silent_and_released(world: World, worker: Worker) -> None:
     world.refused.add(worker.name)
     world.step(6.0)
     release(world, worker)
 
 
-def lease_ended(world: World, worker: FakeWorker) -> None:
+def lease_ended(world: World, worker: Worker) -> None:
     world.refused.add(worker.name)
     world.now += 12 * SECOND
     world.refused.clear()
     world.step(0.5)
 
 
-def failed(world: World, worker: FakeWorker) -> None:
+def failed(world: World, worker: Worker) -> None:
     for task in worker.tasks.values():
         task.status, task.why = "ended", wire.WHY_ERROR
     world.step(0.5)
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize("ends", [taken_back, silent_and_released, lease_ended, failed])
 @pytest.mark.parametrize("repeat", MODES)
 def test_what_may_have_begun_runs_again_only_if_its_class_allows(
-    repeat: Repeat, ends: Callable[[World, FakeWorker], None]
+    repeat: Repeat, ends: Callable[[World, Worker], None]
 ) -> None:
     world, ref, worker = running(repeat)
     ends(world, worker)
@@ -109,7 +109,7 @@
 def test_a_refused_start_never_began(repeat: Repeat, why: str) -> None:
     world, ref, worker = world_with(repeat)
     task = next(iter(world.cluster.jobs[ref].tasks.values()))
-    worker.tasks[(task.name, task.attempt)] = FakeTask("ended", why)
+    worker.tasks[(task.name, task.attempt)] = Held("ended", why)
     world.send()
     world.step(0.5)
     state, starts = state_after(world, ref)
@@ -201,7 +201,7 @@
 def test_a_gang_that_never_became_whole_has_not_begun() -> None:
     world, ref, worker = world_with(Repeat.BEFORE_START, rig="gang")
     task = next(iter(world.cluster.jobs[ref].tasks.values()))
-    worker.tasks[(task.name, task.attempt)] = FakeTask("ended", wire.WHY_ALONE)
+    worker.tasks[(task.name, task.attempt)] = Held("ended", wire.WHY_ALONE)
     world.send()
     assert state_after(world, ref) == ("queued", 1)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,12 +13,12 @@
 from oatport.clients.http import NoAnswer
 from oatport.control.fleet import Rental
 from oatport.control.records import LEADER_KEY, Batch
+from oatport.lab.world.state import KeyStore
 from oatport.service.lead import Lead
 from oatport.service.node import Node
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Tuning
 from oatport.times import SECOND, steady
-from standins.state import FakeState
 from tests.world import TYPES, FakeStateClient, Unplugged, node_settings
 
 
@@ -57,7 +57,7 @@
         pass
 
 
-def leader(state: FakeState) -> tuple[Lead, FakeStateClient, Home]:
+def leader(state: KeyStore) -> tuple[Lead, FakeStateClient, Home]:
     token = state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n0"}}]})[1]["ledgerRev"]
     client, home = FakeStateClient(state), Home()
     lead = Lead(home, node_settings(), Tuning(), Unplugged(), client, token, 1, steady())  # type: ignore[arg-type]
@@ -66,11 +66,11 @@
 
 
 @pytest.fixture
-def state() -> FakeState:
-    return FakeState(lambda: 0)
+def state() -> KeyStore:
+    return KeyStore(lambda: 0)
 
 
-async def test_a_handover_is_taken_only_by_a_node_that_is_served_right_now(state: FakeState) -> None:
+async def test_a_handover_is_taken_only_by_a_node_that_is_served_right_now(state: KeyStore) -> None:
     """At the start of an outage for all, a leader once gave up to a node that was refused too."""
     node = Node(node_settings(), Tuning())
     client = FakeStateClient(state)
@@ -83,7 +83,7 @@
     assert await node._on_handover(["handover", 6]) == ["no"]
 
 
-async def test_a_lost_answer_to_a_leaders_commit_is_resolved(state: FakeState) -> None:
+async def test_a_lost_answer_to_a_leaders_commit_is_resolved(state: KeyStore) -> None:
     lead, client, home = leader(state)
     client.faults = ["lose"]
     batch = Batch(conditions={"live/j-1/0000": 0}, sets={"live/j-1/0000": {"t": [[1]]}})
@@ -92,7 +92,7 @@
     assert lead.cluster.versions["live/j-1/0000"] == state.revision
 
 
-async def test_a_late_leader_commit_cannot_be_applied_twice(state: FakeState) -> None:
+async def test_a_late_leader_commit_cannot_be_applied_twice(state: KeyStore) -> None:
     lead, client, home = leader(state)
     client.faults = ["late"]
     await lead.commits.commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
@@ -100,7 +100,7 @@
     assert client.deliver_late() == [409]
 
 
-async def test_a_deposed_leader_stops(state: FakeState) -> None:
+async def test_a_deposed_leader_stops(state: KeyStore) -> None:
     lead, _, home = leader(state)
     state.commit({"if": [], "then": [{"set": LEADER_KEY, "value": {"node": "n1"}}]})
     await lead.commits.commit(Batch(conditions={"fleet/000000": 0}, sets={"fleet/000000": {"m": []}}))
@@ -108,7 +108,7 @@
     assert not lead.answering()
 
 
-async def test_nobody_is_judged_without_contact(state: FakeState) -> None:
+async def test_nobody_is_judged_without_contact(state: KeyStore) -> None:
     """A cut may hold a release and deliver it minutes later, onto another leader's machines."""
     lead, client, home = leader(state)
     client.faults = ["refuse", "lose"]
@@ -123,7 +123,7 @@
     assert await lead.keeper.watcher.ask_around([]) == (None, True)
 
 
-async def test_a_node_in_a_dark_zone_does_not_hold_the_verdict_back(state: FakeState) -> None:
+async def test_a_node_in_a_dark_zone_does_not_hold_the_verdict_back(state: KeyStore) -> None:
     """A zone was cut off with its node: for two minutes its machines' tasks were replaced nowhere."""
     lead, _, home = leader(state)
     blind, silent, sees = FakePeer(["seen", 0, True]), FakePeer(None), FakePeer(["seen", 1, True])
@@ -135,7 +135,7 @@
     assert await lead.keeper.watcher.ask_around([]) == (None, False)
 
 
-async def test_in_an_outage_tasks_live_but_nothing_starts(state: FakeState) -> None:
+async def test_in_an_outage_tasks_live_but_nothing_starts(state: KeyStore) -> None:
     lead, client, _ = leader(state)
     now = steady()
     client.ok_at, client.failed_at = now - 5 * SECOND, now
@@ -148,7 +148,7 @@
     assert lead.take_report(report) is None
 
 
-async def test_reports_go_to_the_leader_and_bad_ones_hurt_nobody(state: FakeState) -> None:
+async def test_reports_go_to_the_leader_and_bad_ones_hurt_nobody(state: KeyStore) -> None:
     node = Node(node_settings(), Tuning())
     node.state = FakeStateClient(state)  # type: ignore[assignment]
     node._leader = "n1"
@@ -206,7 +206,7 @@
     assert ran == []
 
 
-async def test_a_rental_without_an_answer_is_repeated_under_its_name_which_is_never_reused(state: FakeState) -> None:
+async def test_a_rental_without_an_answer_is_repeated_under_its_name_which_is_never_reused(state: KeyStore) -> None:
     lead, _, _ = leader(state)
     asked: list[str] = []
 
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -14,11 +14,11 @@
 from oatport.control.fleet import Rental
 from oatport.control.mandate import DOUBT, Mandate, Pulse
 from oatport.control.recovery import cut_off, deaf, silent
+from oatport.lab.world.state import KeyStore
 from oatport.service import lead as lead_module
 from oatport.service.node import Node
 from oatport.settings import Tuning
 from oatport.times import MS, SECOND
-from standins.state import FakeState
 from tests.test_service import FakePeer, leader
 from tests.world import FakeStateClient, Unplugged, World, node_settings
 
@@ -31,8 +31,8 @@
 
 
 @pytest.fixture
-def state() -> FakeState:
-    return FakeState(lambda: 0)
+def state() -> KeyStore:
+    return KeyStore(lambda: 0)
 
 
 @pytest.fixture
@@ -69,7 +69,7 @@
     assert [pulse.beat(at * SECOND) for at in (1, 2, 9, 10)] == [0, 0, 7 * SECOND, 0]
 
 
-async def test_a_leader_that_wakes_starts_rents_and_returns_nothing(state: FakeState, clock: Clock) -> None:
+async def test_a_leader_that_wakes_starts_rents_and_returns_nothing(state: KeyStore, clock: Clock) -> None:
     """Those machines may be at work for another leader: the cloud knows no tokens."""
     lead, _, home = leader(state)
     lead.mandate.asked_at = clock.at
@@ -94,7 +94,7 @@
     assert home.lost == []  # whether it still leads is for the state service to say
 
 
-async def test_a_rental_under_way_in_a_freeze_is_not_repeated_unentitled(state: FakeState, clock: Clock) -> None:
+async def test_a_rental_under_way_in_a_freeze_is_not_repeated_unentitled(state: KeyStore, clock: Clock) -> None:
     lead, _, _ = leader(state)
     lead.mandate.asked_at = clock.at
     asked: list[str] = []
@@ -114,7 +114,7 @@
     assert lead.keeper.fleet.under_way == []
 
 
-async def test_tasks_outlive_a_short_freeze_but_none_starts_before_proof(state: FakeState, clock: Clock) -> None:
+async def test_tasks_outlive_a_short_freeze_but_none_starts_before_proof(state: KeyStore, clock: Clock) -> None:
     lead, _, _ = leader(state)
     lead.mandate.asked_at = lead.clock.known_at = clock.at
     report = wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 1, lead.token, [])
@@ -165,7 +165,7 @@
     assert silent(machines, now, 5 * SECOND) == [] and cut_off(len(quiet), machines)
 
 
-async def test_a_handover_whose_answer_is_lost_leaves_the_leader_in_doubt(state: FakeState) -> None:
+async def test_a_handover_whose_answer_is_lost_leaves_the_leader_in_doubt(state: KeyStore) -> None:
     """The other node may replace the key while this one's lease is renewed."""
     lead, _, _ = leader(state)
     node = Node(node_settings(), Tuning())
@@ -181,7 +181,7 @@
     assert lead.entitled()
 
 
-async def test_a_handover_agreed_to_before_a_freeze_is_off_after_it(state: FakeState) -> None:
+async def test_a_handover_agreed_to_before_a_freeze_is_off_after_it(state: KeyStore) -> None:
     node = Node(node_settings(), Tuning())
     client = FakeStateClient(state)
     node.state = client  # type: ignore[assignment]
@@ -194,7 +194,7 @@
     await asyncio.sleep(0)
 
 
-async def test_a_node_that_others_can_better_lets_them_go_first(state: FakeState) -> None:
+async def test_a_node_that_others_can_better_lets_them_go_first(state: KeyStore) -> None:
     """Frozen leader, next node down: workers waited for both in turn until their leases had ended.
 
     And one that was cut off from workers took the lead again and again while another could reach them.
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -10,7 +10,7 @@
 from oatport import wire
 from oatport.api.users import Users
 from oatport.control.records import job_key
-from standins.state import FakeState
+from oatport.lab.world.state import KeyStore
 from tests.world import TYPES, FakeStateClient, node_settings
 from tests.world import job as body_of
 
@@ -36,16 +36,16 @@
 
 
 @pytest.fixture
-def state() -> FakeState:
-    return FakeState(lambda: 0)
+def state() -> KeyStore:
+    return KeyStore(lambda: 0)
 
 
-def node(state: FakeState) -> tuple[Users, FakeStateClient, Desk]:
+def node(state: KeyStore) -> tuple[Users, FakeStateClient, Desk]:
     client, desk = FakeStateClient(state), Desk()
     return Users(node_settings(), client, desk), client, desk  # type: ignore[arg-type]
 
 
-async def test_accepted_once_for_ever(state: FakeState) -> None:
+async def test_accepted_once_for_ever(state: KeyStore) -> None:
     users, _, desk = node(state)
     other, _, _ = node(state)
     assert (await users.submit(job())).status == 201
@@ -57,14 +57,14 @@
     assert (again.status, again.value["status"]) == (200, "aborted")
 
 
-async def test_a_lost_answer_to_the_commit_is_read_back(state: FakeState) -> None:
+async def test_a_lost_answer_to_the_commit_is_read_back(state: KeyStore) -> None:
     users, client, _ = node(state)
     client.faults = ["lose"]
     assert (await users.submit(job())).status == 200
     assert (await users.show("j-000001")).value["status"] == "queued"
 
 
-async def test_a_late_commit_makes_no_second_job(state: FakeState) -> None:
+async def test_a_late_commit_makes_no_second_job(state: KeyStore) -> None:
     users, client, _ = node(state)
     client.faults = ["late"]
     assert (await users.submit(job())).status == 201
@@ -73,7 +73,7 @@
     assert (await users.show("j-000001")).value["status"] == "aborted"
 
 
-async def test_what_cannot_be_decided_is_503_at_once(state: FakeState) -> None:
+async def test_what_cannot_be_decided_is_503_at_once(state: KeyStore) -> None:
     users, client, desk = node(state)
     client.faults = ["refuse"] * 4
     for answer in (
@@ -86,7 +86,7 @@
     assert (await users.submit(job())).status == 503  # machine types unknown
 
 
-async def test_a_submission_that_stays_unsure_is_sent_away_after_two_tries(state: FakeState) -> None:
+async def test_a_submission_that_stays_unsure_is_sent_away_after_two_tries(state: KeyStore) -> None:
     """It was once held back for seconds, so that the user would not ask again."""
     users, client, _ = node(state)
     client.faults = ["late"] * 9
@@ -98,7 +98,7 @@
     assert (await users.submit(job())).status == 200
 
 
-async def test_nobody_waits_long_for_a_slot(state: FakeState) -> None:
+async def test_nobody_waits_long_for_a_slot(state: KeyStore) -> None:
     users, client, _ = node(state)
 
     async def hang(*_: Any, **__: Any) -> Any:
@@ -114,7 +114,7 @@
         task.cancel()
 
 
-async def test_a_known_job_is_never_refused(state: FakeState) -> None:
+async def test_a_known_job_is_never_refused(state: KeyStore) -> None:
     """forgotten: a repeated submission gets 200 even if it would be judged otherwise today."""
     users, _, desk = node(state)
     await users.submit(job())
@@ -123,7 +123,7 @@
     assert (await users.submit(job("j-000002", berthKinds=["m8"]))).status == 422
 
 
-async def test_cancel_is_committed_before_it_is_told(state: FakeState) -> None:
+async def test_cancel_is_committed_before_it_is_told(state: KeyStore) -> None:
     users, client, _ = node(state)
     await users.submit(job())
     client.faults = ["", "lose"]
@@ -132,7 +132,7 @@
     assert (await users.cancel("j-000009")).status == 404
 
 
-async def test_done_wins_over_a_late_cancel(state: FakeState) -> None:
+async def test_done_wins_over_a_late_cancel(state: KeyStore) -> None:
     """went_back: the cancel's commit is conditioned on the version that it read."""
     users, client, _ = node(state)
     await users.submit(job())
@@ -153,7 +153,7 @@
     assert (await users.show("j-000001")).value["status"] == "done"
 
 
-async def test_unknown_jobs_are_404_and_nothing_is_invented(state: FakeState) -> None:
+async def test_unknown_jobs_are_404_and_nothing_is_invented(state: KeyStore) -> None:
     users, _, _ = node(state)
     assert (await users.show("j-000404")).status == 404
 
@@ -180,7 +180,7 @@
     assert wire.submission({**body_of(), "unheardOf": 1}).tasks == 2
 
 
-async def test_what_can_never_run(state: FakeState) -> None:
+async def test_what_can_never_run(state: KeyStore) -> None:
     users, _, _ = node(state)
     for change in (
         {"crew": "nobody"}, {"cores": 99.0}, {"berthKinds": ["none"]}, {"harbor": "mars"},
@@ -190,7 +190,7 @@
     assert (await users.submit(job(legs=9))).status == 201  # an array: one task at a time is enough
 
 
-async def test_polls_that_wait_share_one_read_and_are_never_stale(state: FakeState) -> None:
+async def test_polls_that_wait_share_one_read_and_are_never_stale(state: KeyStore) -> None:
     """A swarm of one-task jobs: a read for each poll took the whole budget of the state service."""
     users, client, _ = node(state)
     refs = [f"j-{n:06d}" for n in range(40)]
@@ -208,7 +208,7 @@
     assert (await users.show("j-999999")).status == 404
 
 
-async def test_a_poll_is_answered_from_a_question_asked_after_it(state: FakeState) -> None:
+async def test_a_poll_is_answered_from_a_question_asked_after_it(state: KeyStore) -> None:
     users, client, _ = node(state)
     await users.submit(job())
     await users.show("j-000001")
@@ -231,7 +231,7 @@
     assert late.value["status"] == "aborted"
 
 
-async def test_what_was_forgotten_meanwhile_is_not_learnt_from_an_older_read(state: FakeState) -> None:
+async def test_what_was_forgotten_meanwhile_is_not_learnt_from_an_older_read(state: KeyStore) -> None:
     users, _, _ = node(state)
     record = {"state": "queued", "job": {"legs": 1}}
     view = users._view
@@ -241,7 +241,7 @@
     assert view.known("j-000001") is None
 
 
-async def test_jobs_that_come_at_once_are_committed_together(state: FakeState) -> None:
+async def test_jobs_that_come_at_once_are_committed_together(state: KeyStore) -> None:
     users, client, _ = node(state)
     await users.submit(job("j-000003"))
     real = client.commit
@@ -258,7 +258,7 @@
     assert state.commits - before <= 11
 
 
-async def test_idle_work_is_told_to_come_back_before_the_rest_is(state: FakeState) -> None:
+async def test_idle_work_is_told_to_come_back_before_the_rest_is(state: KeyStore) -> None:
     users, _, _ = node(state)
     idle = [await users.submit(job(f"j-{n:06d}", urgency="idle")) for n in range(60)]
     told = [a for a in idle if a.status == 503]
@@ -266,7 +266,7 @@
     assert (await users.submit(job("j-000100", urgency="production"))).status == 201
 
 
-async def test_bad_requests_are_told_so_under_full_load(state: FakeState) -> None:
+async def test_bad_requests_are_told_so_under_full_load(state: KeyStore) -> None:
     users, _, _ = node(state)
     users._busy = 10_000
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -13,6 +13,7 @@
 from oatport.control.backlog import Queues, _pools_by_type
 from oatport.control.model import Job
 from oatport.lab.windows import run
+from oatport.lab.world.state import KeyStore
 from oatport.service.windowkeeper import KEY, WindowKeeper
 from oatport.settings import SettingsError, Team, load_tuning
 from oatport.times import SECOND, time_of_day
@@ -23,7 +24,6 @@
 from oatport.windows.prices import BadSeries, Book, Interval
 from oatport.windows.settings import Deferral, WindowSettings, load
 from standins.feed import FeedServer
-from standins.state import FakeState
 from tests.test_service import leader
 from tests.world import Unplugged, World
 
@@ -379,7 +379,7 @@
 
 
 async def test_the_last_good_series_and_what_was_learnt_outlive_the_leader() -> None:
-    state = FakeState(lambda: 0)
+    state = KeyStore(lambda: 0)
     lead, client, _ = leader(state)
     settings = WindowSettings(on=True, capacity_cpus=8.0, classes=(("train", Deferral()),))
     keeper = WindowKeeper(lead, Unplugged(), settings)  # type: ignore[arg-type]
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,8 @@
 from oatport.control.records import CATALOG_KEY, DARK_KEY, FLEET, LEADER_KEY, LIVE, Batch, cancel_key, job_key, live_key
 from oatport.control.recovery import load
 from oatport.control.repeats import Repeats
+from oatport.lab.world.state import KeyStore
+from oatport.lab.world.worker import Worker
 from oatport.settings import (
     CloudLimits,
     ClusterSettings,
@@ -31,8 +33,6 @@
     Workers,
 )
 from oatport.times import SECOND
-from standins.state import FakeState
-from standins.worker import FakeWorker
 
 TYPES = wire.catalog({"berthKinds": [
     {"label": "m8", "cores": 8.0, "accelerators": 0.0, "memoryGb": 32.0, "price": 1.0, "marketPrice": 0.4,
@@ -72,9 +72,9 @@
 class World:
     def __init__(self, teams: list[Team] | None = None) -> None:
         self.now = 1_000 * SECOND
-        self.state = FakeState(lambda: self.now)
+        self.state = KeyStore(lambda: self.now)
         self.settings = cluster_settings(teams)
-        self.workers: dict[str, FakeWorker] = {}
+        self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, dict[str, Any]] = {}
         self.refused: set[str] = set()
         self.repeats: Repeats = {}
@@ -138,7 +138,7 @@
             self.cluster.answered(machine, [(t.name, t.attempt) for t in starts])
             self.cluster.on_report(wire.report(report), self.now, self.now)
 
-    def report(self, worker: FakeWorker) -> None:
+    def report(self, worker: Worker) -> None:
         sent, session = self.now, worker.session
         machine = self.cluster.on_report(wire.report(worker.report()), self.now, self.now)
         orders: list[wire.Command] = []
@@ -190,9 +190,9 @@
         if tell:
             self.cluster.cancel_job(ref, value["ledgerRev"])
 
-    def machine(self, number: int, zone: str = "a", *, spot: bool = False, kind: str = "m8") -> FakeWorker:
+    def machine(self, number: int, zone: str = "a", *, spot: bool = False, kind: str = "m8") -> Worker:
         name = f"vm-{number:06d}"
-        worker = FakeWorker(lambda: self.now, name, f"10.0.0.{number}:1", kind, zone, spot, TYPES[kind].cpus,
+        worker = Worker(lambda: self.now, name, f"10.0.0.{number}:1", kind, zone, spot, TYPES[kind].cpus,
                             self.jobs.get)
         self.workers[name] = worker
         return worker
@@ -229,9 +229,9 @@
 
 
 class FakeStateClient:
-    """StateClient's calls on a FakeState, with faults: "refuse", "lose" (applied, no answer), "late"."""
+    """StateClient's calls on a KeyStore, with faults: "refuse", "lose" (applied, no answer), "late"."""
 
-    def __init__(self, state: FakeState) -> None:
+    def __init__(self, state: KeyStore) -> None:
         self.state = state
         self.faults: list[str] = []
         self.held: list[dict[str, Any]] = []
