--- a/oatport/lab/world/worker.py
+++ b/oatport/lab/world/worker.py
@@ -26,6 +26,7 @@
     job: dict[str, Any] = field(default_factory=dict)
     image_at: int = 0  # when its image is there
     began_at: int = 0
+    stopped_at: int | None = None  # its progress stops with the first stop
     saved_at: int = 0  # when what it saves is safe
     stored: bool | None = None
     present: bool = False  # it has its image, and is on the machine as the rules count
@@ -208,7 +209,8 @@
     def _gone(self, task: str, attempt: int, held: Held, why: str) -> None:
         every = micros(float(held.job.get("mooringS") or 0.0))
         if held.ends_at is not None and every and why != DONE and held.status in ("running", "flushing"):
-            ran = round((self._clock() - held.began_at) * self.speed)
+            until = self._clock() if held.stopped_at is None else held.stopped_at
+            ran = round((until - held.began_at) * self.speed)
             saved = self.progress.get(task, 0) + ran
             self.progress[task] = saved if held.stored else max(self.progress.get(task, 0), saved // every * every)
         if held.present:
@@ -275,8 +277,8 @@
     def _stop(self, key: Key, held: Held, slack_s: float) -> None:
         saves = float(held.job.get("mooringS") or 0.0) > 0 and slack_s >= float(held.job.get("stowS") or 0.0)
         if held.status == "running" and saves:
-            held.status = "flushing"
-            held.saved_at = self._clock() + micros(float(held.job["stowS"]))
+            held.status, held.stopped_at = "flushing", self._clock()
+            held.saved_at = held.stopped_at + micros(float(held.job["stowS"]))
         elif held.status != "flushing" or slack_s <= 0:
             self._end(key, held, STOPPED)
             image = str(held.job.get("hull"))
