--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -383,7 +383,7 @@
 
 
 def test_a_guard_that_is_off_is_noticed_unproven() -> None:
-    """Machines that are only cut off are taken to be gone. docs/rehearsal.md has all four guards, over 50 seeds each."""
+    """Machines that are only cut off are taken to be gone. docs/rehearsal.md has all four guards."""
     assert set(GUARDS) == {"fencing", "write-ahead", "forget", "unproven"}
     plan = Plan((Fault("machine_cut", 10.0, 30.0, count=8),), 24.0, 3, 20, 40.0)
     asked = Asked(plan=plan, guard="unproven")
