--- a/oatport/control/backlog.py
+++ b/oatport/control/backlog.py
@@ -47,7 +47,7 @@
     for machine in cluster.machines.values():
         if machine.draining or machine.releasing or machine.taken_at or machine.zone in cluster.dark:
             continue
-        cpus, left, idle = machine.type.cpus, 0.0, 0.0
+        cpus, left, idle = machine.type.cpus - machine.steady_cpus, 0.0, 0.0
         if not machine.up_at:
             # One that boots is room from then on: without it, a wave of work would rent on-demand what
             # the spot machines rented a moment ago are about to do.
@@ -55,16 +55,13 @@
             if boot < -micros(machine.type.boot_s):
                 continue  # long overdue
             left = max(boot, 0) * cpus
-        for task in machine.tasks:
-            if task.job.kind is Kind.SERVICE:
-                cpus -= task.job.spec.cpus
+        for task in machine.work:
+            ran = now - task.running_since if task.running_since else 0
+            work = max(predictor.run_time(task.job.ref, task.job.spec) - ran, 0) * task.job.spec.cpus
+            if task.job.rank == IDLE_RANK:
+                idle += work
             else:
-                ran = now - task.running_since if task.running_since else 0
-                work = max(predictor.run_time(task.job.ref, task.job.spec) - ran, 0) * task.job.spec.cpus
-                if task.job.rank == IDLE_RANK:
-                    idle += work
-                else:
-                    left += work
+                left += work
         spot = machine.spot
         pools.setdefault(machine.type.name, _Pool()).add(
             _Pool(cpus, left, 0.0 if spot else cpus, 0.0 if spot else left, idle)
@@ -242,9 +239,8 @@
     ages = [now - m.rented_at for m in cluster.machines.values() if m.spot and m.up_at]
     # Since when an earlier leader's tasks run is not known.
     running = [
-        now - t.running_since for m in cluster.machines.values() if m.zone not in cluster.dark for t in m.tasks
-        if t.running_since and t.claimed_at and t.job.kind is not Kind.SERVICE and not t.job.suspect
-        and t.job.rank < IDLE_RANK
+        now - t.running_since for m in cluster.machines.values() if m.zone not in cluster.dark for t in m.work
+        if t.running_since and t.claimed_at and not t.job.suspect and t.job.rank < IDLE_RANK
     ]
     cluster.router.learn(ages, running)
 
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -253,6 +253,7 @@
     known_since: int = 0  # steady; when this leader first knew of it
     taken_at: int = 0  # when the cloud takes it back; 0: no notice
     tasks: set[Task] = field(default_factory=set)
+    work: set[Task] = field(default_factory=set)  # those of them that end by themselves: all but replicas
     # Live tasks in its newest report that no record puts here, and what they take.
     strays: dict[tuple[str, int], tuple[float, float, float]] = field(default_factory=dict)
     # Ended attempts still in the worker's reports.
--- a/oatport/control/rentals.py
+++ b/oatport/control/rentals.py
@@ -148,12 +148,13 @@
         boot = min((micros(t.boot_s) for t in cluster.types.values()), default=30 * SECOND)
         cpus = given_way = 0.0
         for machine in cluster.usable_now:
-            for task in machine.tasks:
+            given_way += machine.rank_cpus[IDLE_RANK]
+            for task in machine.work:
                 job = task.job
-                if job.rank == IDLE_RANK and not job.spec.gpus:
-                    given_way += job.spec.cpus
+                if job.rank == IDLE_RANK:
+                    given_way -= job.spec.cpus if job.spec.gpus else 0.0
                     continue
-                if job.kind is Kind.SERVICE or not task.running_since or job.spec.gpus:
+                if not task.running_since or job.spec.gpus:
                     continue
                 left = cluster.predictor.run_time(job.ref, job.spec) - (now - task.running_since)
                 if left < boot:
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -206,6 +206,8 @@
         self.rank_tasks[job.rank] += 1
         if job.kind is Kind.SERVICE:
             machine.steady_cpus += spec.cpus
+        else:
+            machine.work.add(task)
         job.on_machines += 1
         job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
         use = self.teams.get(spec.team)
@@ -226,6 +228,7 @@
         machine.give(spec.cpus, spec.gpus, spec.memory_gb)
         machine.rank_cpus[job.rank] -= spec.cpus
         self.rank_tasks[job.rank] -= 1
+        machine.work.discard(task)
         if job.kind is Kind.SERVICE:
             machine.steady_cpus -= spec.cpus
         job.on_machines -= 1
