--- a/oatport/control/rooms.py
+++ b/oatport/control/rooms.py
@@ -59,9 +59,6 @@
     def __iter__(self) -> Iterator[Room]:
         return iter(self._all)
 
-    def __len__(self) -> int:
-        return len(self._all)
-
     def zones(self) -> list[str]:
         return list(self._zones)
 
--- a/oatport/lab/world/cloud.py
+++ b/oatport/lab/world/cloud.py
@@ -12,7 +12,7 @@
 
 from oatport import wire
 from oatport.lab.world.loop import Host
-from oatport.times import MS, SECOND, micros, seconds
+from oatport.times import MS, micros, seconds
 
 Answer = tuple[int, Any]
 Sort = tuple[str, str, bool]
@@ -128,5 +128,3 @@
         times = rng.uniform(2.0, 4.0)
     return micros(startup_s * times)
 
-
-__all__ = ["SECOND", "CloudService", "Registry", "boot_us"]
--- a/oatport/lab/world/state.py
+++ b/oatport/lab/world/state.py
@@ -12,7 +12,7 @@
 
 from oatport import wire
 from oatport.lab.world.loop import Host
-from oatport.times import MS, SECOND, seconds
+from oatport.times import MS, seconds
 
 Answer = tuple[int, Any]
 
@@ -198,6 +198,3 @@
     store.expire()
     found = store.items.get("leader")
     return str(found[0].get("node")) if found is not None and isinstance(found[0], dict) else None
-
-
-__all__ = ["SECOND", "KeyStore", "StateService", "leader_of"]
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -21,7 +21,7 @@
 from oatport.lab.world.worker import Gangs, Worker
 from oatport.service.node import Node
 from oatport.settings import Tuning
-from oatport.times import SECOND, micros, seconds
+from oatport.times import SECOND, micros
 
 EVERY = "any"  # a tag that all hosts have
 SAMPLE_S = 0.25
@@ -47,7 +47,7 @@
 
 
 class World:
-    """One run. `tuning`: operators' settings of all nodes; `clusters`: settings of single nodes that differ."""
+    """One run. `tuning`: operators' settings of all nodes."""
 
     def __init__(self, plan: Plan, seed: int, tuning: Tuning | None = None) -> None:
         self.plan, self.seed = plan, seed
@@ -384,6 +384,3 @@
 
     def _on_rush(self, fault: Fault) -> None:
         """It is in the jobs that were drawn."""
-
-
-__all__ = ["Result", "World", "seconds"]
