--- a/oatport/lab/world/net.py
+++ b/oatport/lab/world/net.py
@@ -66,7 +66,6 @@
     """One request under way, as its sender sees it."""
 
     future: asyncio.Future[tuple[int, bytes]]
-    sent: bool = False
 
 
 class Net:
@@ -176,7 +175,6 @@
         target = f"{path}?{query}" if query else path
         try:
             await self._connect(source, address, wait)
-            wait.sent = True
             self._note(source, address, method, target, data)
             host = self._hosts[address]
             self._travel(source, host, lambda: self._serve(source, host, address, method, target, data, wait))
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -5,7 +5,7 @@
 import random
 import tomllib
 from collections.abc import Callable
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -82,7 +82,6 @@
 @dataclass
 class _Reader:
     where: str
-    names: dict[str, type] = field(default_factory=dict)
 
     def number(self, table: dict[str, Any], key: str, low: float, high: float) -> float:
         value = table[key]
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -124,7 +124,6 @@
 
     waiting: int
     quiet: int = 0  # nothing changes
-    steps: int = 0  # times that the planning loop looked around in them
     longest: int = 0  # the dearest of those looks: what a claim, a report or a renewal may have to wait for
     ends: int = 0  # ten tasks end each second
     claims: int = 0  # and so many were claimed for that
@@ -189,7 +188,6 @@
             if step % 10 == 5:
                 each_second()
             looked = calls(look)
-            found.steps += 1
             found.longest = max(found.longest, looked)
             total += looked + (calls(rent) if step % 3 == 0 else 0)
         return total
@@ -200,7 +198,7 @@
             cluster.finish_task(task, world.now, measured=False)
 
     ten_seconds(lambda: None)  # machines and routes settle
-    found.longest = found.steps = 0
+    found.longest = 0
     found.quiet = ten_seconds(lambda: None)
     found.comes = ten_seconds(lambda: submit(legs=12, voyageS=50.0, tideS=300.0, cargo="van"))
     on_machines = sum(cluster.rank_tasks)
