A node started again in a cut zone learns from another what it may keep leases by

Change: the tag "kept" passes on token and moment; a node that can't answer names one that can; the bound's margin is 2 s, with its proof beside it; that a zone is kept is recorded, so a new leader does not take it for dead after one lease. A machine whose release is unanswered is told to stop what should not run: its leases lived on without. Tests with each.

--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -142,10 +142,22 @@
                     self.replan = True
         return found
 
+    def note_kept(self, zones: Iterable[str]) -> None:
+        """Nodes that fell silent with these dark zones answer the workers there.
+
+        Recorded: a leader that was started again never heard those nodes, took the zone's tasks for dead after one
+        lease and gave up the machines of all replicas at once.
+        """
+        new = set(zones) - self.kept
+        if new:
+            self.kept |= new
+            self.dirty[DARK_KEY] = None
+
     def _heard_again(self, zone: str, now: int) -> None:
         """A zone is back: its machines were silent for its sake, and have a moment to be heard of."""
         log.info("zone %s is heard from again", zone)
         del self.dark[zone]
+        self.kept.discard(zone)
         self.back.add(zone)
         self.dirty[DARK_KEY] = None
         for machine in self.machines.values():
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -18,6 +18,8 @@
 
 log = logging.getLogger(__name__)
 
+MARGIN = 2 * SECOND  # of `OutageClock`
+
 
 def read_job(value: Any) -> tuple[wire.Submission, int, str]:
     """The value of jobs/REF or live/REF: job, time of submission, state."""
@@ -42,6 +44,7 @@
         elif key == DARK_KEY:
             # What an earlier leader found out holds until one of the zone's machines is heard.
             cluster.dark = {str(zone): now - max(0, wall - int(since)) for zone, since in value["zones"].items()}
+            cluster.kept = {str(zone) for zone in value.get("kept", ())} & cluster.dark.keys()
         elif key.startswith(FLEET):
             for name, type_name, zone, spot, address, rented, was_up in value["m"]:
                 machine = cluster.add_machine(
@@ -144,7 +147,12 @@
     """How long a leader cut off from the state service may keep its workers' leases alive.
 
     A cancellation may be told by another node at any moment; its tasks must be gone `cancel_s`
-    later, and a worker that hears nothing more kills them after `lease_s`.
+    later, and a worker that hears nothing more kills them after `lease_s`, counted from when it *sent* the report:
+    before the answer was given, however late that goes out. So with K up to which cancellations are known, an
+    answer at t < K + cancel_s - lease_s - MARGIN renews a lease that ends before K + cancel_s - MARGIN, and a
+    cancellation that is not known was told after K. A start that a cut held finds the session only for as long. The
+    answer itself stops the tasks of those that are known. What is left for the margin are clocks (0.05% of both
+    spans, 20 ms) and timers.
     """
 
     settings: ClusterSettings
@@ -154,8 +162,7 @@
     def until(self) -> int:
         """Reports are answered up to here."""
         workers = self.settings.workers
-        margin = 2 * SECOND + micros(2 * workers.report_s)
-        return self.known_at + with_drift(micros(workers.cancel_s - workers.lease_s)) - margin
+        return self.known_at + with_drift(micros(workers.cancel_s - workers.lease_s)) - MARGIN
 
     def known(self, asked_at: int) -> None:
         self.known_at = max(self.known_at, asked_at)
--- a/oatport/control/steward.py
+++ b/oatport/control/steward.py
@@ -6,6 +6,11 @@
 break is a cancellation: a task of a job whose user was told that it is cancelled must be gone `cancel_s` later.
 So, like a leader in an outage (`OutageClock`), it stops in time for leases to end before that. It counts from the
 last moment of which the leader said that all cancellations told up to then were carried out.
+
+A node that was started again in the zone learns that moment from another one there. Where all of them ended nothing is
+kept, and can't be: that a worker's lease lives says only that it was answered up to `lease_s` ago, perhaps by a steward
+at the very end of what it might do. By all that a new process can see, a cancellation may have been told so long
+ago that another answer, and the lease that comes with it, would outlast `cancel_s`.
 """
 
 from __future__ import annotations
@@ -42,6 +47,23 @@
         self.told_at = max(self.told_at, asked_at)
         self.clock.known(asked_at - age - age // 500)
 
+    def pass_on(self, now: int) -> tuple[int, int, int] | None:
+        """For a node that was started again: the leader's token, and how long ago (us) was the moment up to which
+        cancellations are carried out, and the question that the leader answered last; None if it never did."""
+        return (self.token, now - self.clock.known_at, now - self.told_at) if self.token else None
+
+    def passed_on(self, token: int, asked_at: int, age: int, told_age: int) -> None:
+        """Another node was told so by the leader of this token.
+
+        Its answer is no older than the question either, and each hand that it goes through takes drift off once
+        more: what is passed on in a circle only gets less.
+        """
+        if token < self.token or min(age, told_age) < 0:
+            return
+        self.token = token
+        self.told_at = max(self.told_at, asked_at - told_age)
+        self.clock.known(asked_at - age - age // 500)
+
     def ends(self) -> int:
         """Until when reports may be answered."""
         return self.clock.until if self.token else 0
@@ -56,6 +78,8 @@
         """
         if not self.token or report_token != self.token or now >= self.ends():
             return False
-        if now - self.told_at < OUT_OF_TOUCH:
-            return False
-        return state_failed_at > state_ok_at and now - state_ok_at > SECOND
+        return self.out_of_touch(now, state_ok_at, state_failed_at)
+
+    def out_of_touch(self, now: int, state_ok_at: int, state_failed_at: int) -> bool:
+        """Neither the leader nor the state service answers this node."""
+        return now - self.told_at >= OUT_OF_TOUCH and state_failed_at > state_ok_at and now - state_ok_at > SECOND
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -87,6 +87,7 @@
         self.fresh_us = 2 * self.report_us + SECOND
         self.usable_now: list[Machine] = []
         self.dark: dict[str, int] = {}  # zones that nothing is heard from -> since when (steady)
+        self.kept: set[str] = set()  # of these, where a node was cut off along and keeps the workers' leases
         self.back: set[str] = set()  # zones that are heard from again: their machines are to be asked at once
         self.singles[DARK_KEY] = self.dark_value
         self.coming: list[tuple[Job, int]] = []  # held work that is let go soon, and how many tasks: it counts as ahead
@@ -95,8 +96,9 @@
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
 
     def dark_value(self) -> dict[str, Any]:
-        """Zones that are cut off, and since when by the time of day."""
-        return {"zones": {zone: since + self.wall_offset for zone, since in self.dark.items()}}
+        """Zones that are cut off, and since when by the time of day; those with a node that keeps leases there."""
+        zones = {zone: since + self.wall_offset for zone, since in self.dark.items()}
+        return {"zones": zones, "kept": sorted(self.kept)} if self.kept else {"zones": zones}
 
     # --- jobs -------------------------------------------------------------------------------
 
--- /dev/null
+++ b/oatport/service/keeping.py
@@ -0,0 +1,93 @@
+"""How a node that does not lead keeps workers' leases, and what nodes tell one another about that.
+
+What it goes by is in `control/steward.py`. The leader tells it, asked with every ping. A node that was started
+again knows nothing; in a zone that is cut off it can ask the leader no more, so another node there passes on what it
+was told.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from oatport import wire
+from oatport.api.peers import Message
+from oatport.clients.http import NoAnswer
+from oatport.clients.peer import PeerClient
+from oatport.clients.state import StateClient
+from oatport.control.steward import Steward
+from oatport.service.lead import Lead
+from oatport.settings import ClusterSettings
+from oatport.times import SECOND, steady
+
+NAMED_FOR = 2 * SECOND  # a keeper that answered so recently is named to workers
+
+
+class Here(Protocol):
+    """The node that it belongs to."""
+
+    node_name: str
+    lead: Lead | None
+    state: StateClient
+
+    def served(self) -> bool: ...
+
+
+class Keeping:
+    def __init__(self, here: Here, settings: ClusterSettings) -> None:
+        self._here = here
+        self.steward = Steward.of(settings)
+        self._keepers: dict[str, int] = {}  # node -> when it said that it answers workers (steady)
+
+    def take_report(self, report: wire.Report) -> bool:
+        """May this report be answered in the leader's name?"""
+        state = self._here.state
+        return self.steward.answers(report.token, steady(), state.ok_at, state.failed_at)
+
+    def named(self, leader: str | None) -> str | None:
+        """Where to send a worker that can't be answered here: to a node that keeps its lease, if the leader can't.
+
+        Sent to a leader outside the cut, each worker once lost 5 s of its lease there.
+        """
+        now = steady()
+        if not self._out_of_touch(now):
+            return leader
+        return next((name for name, at in self._keepers.items() if now - at < NAMED_FOR), leader)
+
+    def _out_of_touch(self, now: int) -> bool:
+        state = self._here.state
+        return self.steward.out_of_touch(now, state.ok_at, state.failed_at)
+
+    # --- what nodes tell one another --------------------------------------------------------
+
+    async def on_carried_out(self, message: Message) -> Message:
+        """Up to when are cancellations carried out? Only the leader knows."""
+        lead = self._here.lead
+        return ["carried out", lead.token, lead.carried_out_age()] if lead is not None else ["no"]
+
+    async def on_kept(self, message: Message) -> Message:
+        """What this node keeps leases by, for one that was started again."""
+        now = steady()
+        told = self.steward.pass_on(now)
+        if self._here.lead is not None or told is None:
+            return ["no"]
+        return ["kept", *told, self._out_of_touch(now) and now < self.steward.ends()]
+
+    async def ask_leader(self, peer: PeerClient) -> None:
+        asked = steady()
+        answer = await peer.ask("carried out")
+        if answer[0] == "carried out":
+            self.steward.told(int(answer[1]), asked, int(answer[2]))
+
+    async def ask_keeper(self, peer: PeerClient) -> None:
+        """Out of touch with the state service: what does another node there go by? Never raises for its answer."""
+        self._keepers.pop(peer.name, None)
+        asked = steady()
+        try:
+            answer = await peer.ask("kept")  # 400 from a node of before this tag
+            if answer[0] == "kept":
+                _, token, age, told_age, keeps = answer[:5]
+                self.steward.passed_on(int(token), asked, int(age), int(told_age))
+                if keeps is True:
+                    self._keepers[peer.name] = asked
+        except (NoAnswer, ValueError, TypeError):
+            pass
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -223,11 +223,13 @@
             return None
         now = self.now()
         machine = self.heard(report, now)
-        if machine is None or machine.releasing:
+        if machine is None:
             return wire.report_answer(self.token, [])
         orders, starts = self.cluster.commands(machine, now, direct=False)
-        if not self.entitled():
-            # Tasks live on, but nothing starts while the state service can't be reached, or after standing still.
+        if not self.entitled() or machine.releasing:
+            # Tasks live on, but nothing starts while the state service can't be reached, or after standing still. What
+            # is to be returned is still told to stop: without the cloud's answer it may go on for long, and with
+            # every answer lives the lease of a task whose job's user was told that it is cancelled.
             orders = [order for order in orders if order["orderKind"] != "start"]
             starts = []
         self.cluster.sent(machine, starts, now, direct=False)
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -18,7 +18,7 @@
 from oatport.clients.worker import count_reached
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
 from oatport.control.repeats import Repeats
-from oatport.control.steward import Steward
+from oatport.service.keeping import Keeping
 from oatport.service.lead import Lead
 from oatport.service.network import HttpNetwork, Network
 from oatport.service.tasks import TaskGroup
@@ -54,7 +54,7 @@
         self.types: dict[str, wire.MachineType] = {}
         self.display: dict[str, tuple[int, int]] = {}
         self.peers: dict[str, PeerClient] = {}
-        self.steward = Steward.of(settings.cluster)
+        self.keeping = Keeping(self, settings.cluster)
         self.group = TaskGroup()
         self.lead: Lead | None = None
         self.started = steady()
@@ -85,7 +85,7 @@
         for tag, handler in (
             ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
             ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
-            ("carried out", self._on_carried_out), ("explain", self._on_explain),
+            ("carried out", self.keeping.on_carried_out), ("kept", self.keeping.on_kept), ("explain", self._on_explain),
         ):
             inside.on(tag, handler)
         servers = [
@@ -119,13 +119,12 @@
     def take_report(self, report: wire.Report) -> dict[str, Any] | None:
         if self.lead is not None:
             return self.lead.take_report(report)
-        state = self.state
-        if not self.steward.answers(report.token, steady(), state.ok_at, state.failed_at):
+        if not self.keeping.take_report(report):
             return None
         return wire.report_answer(report.token, [])  # it lives on; nothing starts, stops or is forgotten
 
     def leader_name(self) -> str | None:
-        return self._leader
+        return self.keeping.named(self._leader)
 
     # --- users ------------------------------------------------------------------------------
 
@@ -212,11 +211,6 @@
             return ["ok"]
         return ["no"]
 
-    async def _on_carried_out(self, message: Message) -> Message:
-        """Up to when are cancellations carried out? Only the leader knows."""
-        lead = self.lead
-        return ["carried out", lead.token, lead.carried_out_age()] if lead is not None else ["no"]
-
     async def _on_explain(self, message: Message) -> Message:
         """Why a job is held; asked by operators on the internal address, answered by the leader."""
         ref = str(message[1])
@@ -227,12 +221,6 @@
             return ["no", "no leader is known: ask again in a few seconds"]
         return await peer.ask("explain", ref, True)
 
-    async def _ask_leader(self, peer: PeerClient) -> None:
-        asked = steady()
-        answer = await peer.ask("carried out")
-        if answer[0] == "carried out":
-            self.steward.told(int(answer[1]), asked, int(answer[2]))
-
     async def _ping_loop(self, peer: PeerClient) -> None:
         while True:
             lead = self.lead
@@ -246,7 +234,9 @@
                     if lead is self.lead and lead is not None and served and lead.state_down(steady()):
                         await self._hand_over(lead, peer, "the state service answers it")
                     if self.lead is None and peer.name == self._leader:
-                        await self._ask_leader(peer)
+                        await self.keeping.ask_leader(peer)
+                    elif self.lead is None and not self.served():
+                        await self.keeping.ask_keeper(peer)
             except (NoAnswer, ValueError, TypeError):
                 self._peer_served.pop(peer.name, None)
             await asyncio.sleep(jitter(PING_EVERY))
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -131,10 +131,11 @@
     def _kept(self) -> frozenset[str]:
         """Dark zones with a node that was cut off along with them: it answers their workers."""
         heard = self.home.nodes_heard()
-        return frozenset(
+        self.cluster.note_kept(
             zone for zone, since in self.cluster.dark.items()
             if any(abs(at - since) < NODE_LOST_WITHIN for at in heard.get(zone, ()))
         )
+        return frozenset(self.cluster.kept)
 
     async def _may_judge(self) -> bool:
         """A node without contact judges nobody.
--- a/tests/test_dark.py
+++ b/tests/test_dark.py
@@ -85,8 +85,8 @@
     lead, _, _ = leader(state)
     lead.clock.known_at = steady()
     peer = FakePeer(["carried out", lead.token, lead.carried_out_age()])
-    await node._ask_leader(peer)  # type: ignore[arg-type]
-    node.steward.told_at -= 3 * SECOND
+    await node.keeping.ask_leader(peer)  # type: ignore[arg-type]
+    node.keeping.steward.told_at -= 3 * SECOND
     worker = Worker(lambda: 0, "vm-000001", "h:1", "m8", "a", False, 8.0, lambda ref: None)
     worker.token = lead.token
     report: Any = worker.report()
@@ -94,7 +94,45 @@
     assert node.take_report(wire.report(report)) is None  # it is not out of touch: the state service answers
     client.ok_at, client.failed_at = steady() - 3 * SECOND, steady()
     assert node.take_report(wire.report(report)) == {"helm": lead.token, "orders": []}
-    assert (await node._on_carried_out(["carried out"])) == ["no"]  # only the leader knows
+    assert (await node.keeping.on_carried_out(["carried out"])) == ["no"]  # only the leader knows
+
+
+async def test_a_node_that_was_started_again_learns_from_another_what_leases_are_kept_by(state: KeyStore) -> None:
+    """A zone was lost though its second node never ended: the first one back sent its workers into the cut."""
+    old, new = Node(node_settings(), Tuning()), Node(node_settings(), Tuning())
+    for node in (old, new):
+        node.state = FakeStateClient(state)  # type: ignore[assignment]
+        node.state.ok_at, node.state.failed_at = 0, steady()
+        node._leader = "n1"  # outside the cut
+    worker = Worker(lambda: 0, "vm-000001", "h:1", "m8", "a", False, 8.0, lambda ref: None)
+    worker.token = 7
+    report = wire.report(worker.report())
+    assert await old.keeping.on_kept(["kept"]) == ["no"]  # it was never told anything
+    old.keeping.steward.told(7, steady() - 3 * SECOND, 0)
+    peer = FakePeer(None, "n2")
+    for answer in (None, ["no"], ["kept", 7], ["kept", "x", 0, 0, True], ["pong"]):  # cut, an older node, a strange one
+        peer.answer = answer
+        await new.keeping.ask_keeper(peer)  # type: ignore[arg-type]
+        assert new.take_report(report) is None
+        assert new.leader_name() == "n1"
+    peer.answer = await old.keeping.on_kept(["kept"])
+    await new.keeping.ask_keeper(peer)  # type: ignore[arg-type]
+    assert new.take_report(report) == {"helm": 7, "orders": []}
+    assert new.leader_name() == "n2"  # for a worker that has another token
+    assert 0 < old.keeping.steward.ends() - new.keeping.steward.ends() < SECOND // 10
+
+
+def test_what_is_passed_on_in_a_circle_only_gets_less() -> None:
+    nodes = [steward(), Steward.of(SETTINGS)]
+    ends = nodes[0].ends()
+    for now in range(101, 112):
+        giver, taker = nodes[now % 2 == 0], nodes[now % 2]
+        told = giver.pass_on(now * SECOND)
+        if told is not None:
+            taker.passed_on(told[0], now * SECOND, *told[1:])
+    assert nodes[1].ends() <= nodes[0].ends() == ends
+    nodes[1].passed_on(6, 200 * SECOND, 0, 0)  # of an earlier leader
+    assert nodes[1].ends() <= ends
 
 
 def cut(world: World, zone: str) -> list[Machine]:
@@ -204,6 +242,23 @@
     assert world.state.items[DARK_KEY][0] == {"zones": {}}
 
 
+def test_that_a_node_keeps_a_dark_zone_outlives_the_leader_that_knew() -> None:
+    """All nodes ended; the next leader took the zone for dead after one lease: 300 replicas left at once."""
+    world = World()
+    for number in range(1, 7):
+        world.machine(number, "a" if number < 4 else "b")
+    world.settle()
+    cut(world, "b")
+    world.cluster.note_kept(["b"])
+    world.commit()
+    world.take_over()
+    assert world.cluster.kept == {"b"}
+    world.refused.clear()
+    world.settle()
+    assert world.cluster.kept == set()
+    assert world.state.items[DARK_KEY][0] == {"zones": {}}
+
+
 def test_nothing_is_placed_in_a_dark_zone_though_it_was_heard_a_moment_ago() -> None:
     world = World()
     world.machine(1, "b")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -31,8 +31,8 @@
 
 
 class FakePeer:
-    def __init__(self, answer: list[Any] | None) -> None:
-        self.answer = answer
+    def __init__(self, answer: list[Any] | None, name: str = "n1") -> None:
+        self.answer, self.name = answer, name
 
     async def ask(self, *message: Any, timeout_us: int = 0) -> list[Any]:
         if self.answer is None:
@@ -224,3 +224,16 @@
         await lead.keeper.rent(rental)
     assert asked == [f"r-{lead.token}-1", f"r-{lead.token}-1", f"r-{lead.token}-2"]
     assert sorted(lead.cluster.machines) == ["vm-000002", "vm-000003"]
+
+
+async def test_a_machine_that_is_to_be_returned_is_told_to_stop_what_it_runs(state: KeyStore) -> None:
+    """Its release may stay unanswered for as long as the cloud is away; its leases lived on, and no stop went out."""
+    lead, _, _ = leader(state)
+    lead.clock.known_at = lead.mandate.asked_at = steady()
+    rows = [wire.TaskReport("j-000001/0", 1, wire.RUNNING)]  # of a job that is cancelled and over, say
+    report = wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 1, lead.token, rows)
+    assert lead.take_report(report) is not None
+    lead.cluster.machines["vm-000001"].releasing = True
+    answer = lead.take_report(wire.Report("vm-000001", "h:1", "m8", "a", False, 1, 2, lead.token, rows))
+    assert answer is not None
+    assert [(order["orderKind"], order["leg"]) for order in answer["orders"]] == [("stop", "j-000001/0")]
