Rehearsals: ends within a blink, plans aimed at each guard, a guard for identity

node_crash from 0.05 s on, of all nodes too; users_cancel; drawn plans have one aimed pattern each (starts in flight when the leader ends, a lost commit, starts overtaken by stops, cuts longer than a cancellation) and ends in outages, cuts, takeovers and handovers.

--- a/oatport/lab/world/breaks.py
+++ b/oatport/lab/world/breaks.py
@@ -89,8 +89,23 @@
     return [patch.object(FleetKeeper, "release", judged)]
 
 
+def _boot() -> list[Any]:
+    """A process takes itself for its predecessor of the same name: it goes on under its token and its lease."""
+    stand = Node._stand
+
+    async def stands(self: Node) -> None:
+        found = await self.state.get(LEADER_KEY)
+        if found is not None and found[0].get("node") == self.node_name:
+            await self._lead_as(found[1], int(found[0]["lease"]), steady())
+        else:
+            await stand(self)
+
+    return [patch.object(Node, "_stand", stands)]
+
+
 GUARDS: dict[str, Callable[[], list[Any]]] = {
     "fencing": _fencing, "write-ahead": _write_ahead, "forget": _forget, "unproven": _unproven,
+    "boot": _boot,
 }
 
 
--- a/oatport/lab/world/deployment.py
+++ b/oatport/lab/world/deployment.py
@@ -33,6 +33,7 @@
 CLASSES = {"serve": 0.12, "batch": 0.5, "train": 0.08, "guest": 0.2, "local": 0.1}
 TEAMS = {"serve": "north", "batch": "south", "train": "north", "guest": "east", "local": "east"}
 SERVICES_AT_START = 0.15  # for each machine
+JOBS_FROM_S = 4.0  # nothing is submitted before
 
 
 def cluster_settings(plan: Plan) -> ClusterSettings:
@@ -83,15 +84,18 @@
     """The jobs of a day, in the order in which they come; some are cancelled by their users."""
     asks: list[Ask] = []
     for name, share in CLASSES.items():
-        at = 0.0
         rate = plan.jobs_a_minute * share / 60
+        rushes = [f for f in plan.faults if f.kind == "rush" and f.name == name]
+        most = max([1.0, *(f.amount for f in rushes)])
+        at = 0.0
         while rate > 0:
-            burst = max([f.amount for f in plan.faults
-                         if f.kind == "rush" and f.name == name and f.at_s <= at < f.at_s + f.for_s], default=1.0)
-            at += rng.expovariate(rate * max(burst, 0.01))
+            # Drawn at the highest rate and thinned: else a rush shorter than the usual gap would be passed over.
+            at += rng.expovariate(rate * most)
             if at >= plan.for_s:
                 break
-            asks.append(Ask(_job(rng, name, plan), begins + at))
+            times = max([f.amount for f in rushes if 0 <= JOBS_FROM_S + at - f.at_s < f.for_s], default=1.0)
+            if rng.random() * most < times:
+                asks.append(Ask(_job(rng, name, plan), begins + at))
     asks += [Ask(_job(rng, "serve", plan), begins + rng.uniform(0, 1))
              for _ in range(round(SERVICES_AT_START * plan.machines))]
     asks.sort(key=lambda ask: ask.at)
--- /dev/null
+++ b/oatport/lab/world/drawing.py
@@ -0,0 +1,170 @@
+"""Plans drawn from a seed: single and overlapping faults of all kinds, and patterns that are aimed at something.
+
+Faults that come by chance seldom meet what they could break: a start in flight while its sender ends, a commit under
+way while the next leader reads. Each pattern here brings such a moment about; `breaks.py` shows which guard it is for.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from oatport.lab.world.plan import ALL, LEADER, MODES, WAYS, WHAT, Fault, Plan
+
+
+class Draw:
+    """One plan in the making."""
+
+    def __init__(self, seed: int, nodes: int, machines: int, zones: tuple[str, ...], for_s: float) -> None:
+        self.rng = random.Random(f"plan {seed}")
+        self.names = [f"n{number}" for number in range(nodes)]
+        self.few = max(1, machines // 10)
+        self.zones, self.for_s = zones, for_s
+        self.faults: list[Fault] = []
+
+    def add(self, kind: str, at: float, for_s: float = 0.0, **more: object) -> None:
+        self.faults.append(Fault(kind, at, for_s, **more))  # type: ignore[arg-type]
+
+    def node(self) -> str:
+        return self.rng.choice([LEADER] * 3 + self.names)
+
+    def end(self) -> float:
+        """How long a process is away: back within a blink, or after seconds."""
+        return self.rng.uniform(0.05, 0.6) if self.rng.random() < 0.6 else self.rng.uniform(0.6, 6.0)
+
+    def moment(self, before_end: float = 30.0) -> float:
+        return self.rng.uniform(12, max(13.0, self.for_s - before_end))
+
+    # --- ends of processes ------------------------------------------------------------------
+
+    def in_flight(self) -> None:
+        """Starts are on their way when the leader ends; they arrive after the next process of that name has begun."""
+        for at in self._rounds():
+            self._late_starts(at, 1.0, self.rng.uniform(2.0, 3.5))
+            self.add("node_crash", at + self.rng.uniform(0.7, 1.0), self.rng.uniform(0.05, 0.4))
+
+    def _rounds(self) -> list[float]:
+        """Moments close enough that the room of one swarm still stands by for the next."""
+        first = self.rng.uniform(9, 14)
+        return [first + number * self.rng.uniform(17, 20) for number in range(self.rng.randint(4, 5))]
+
+    def _late_starts(self, at: float, window: float, late: float, name: str = "guest") -> None:
+        """A swarm of tasks; the commands that go out within the window arrive so late."""
+        self._swarm(at, name)
+        self.add("links_slow", at, window, source="node", target="worker", amount=late)
+
+    def _swarm(self, at: float, name: str = "guest") -> None:
+        self.add("rush", at - 1, 2.2, name=name, amount=self.rng.uniform(36, 60))
+
+    def slow_requests(self) -> None:
+        """So are transactions, rentals and releases."""
+        at, target = self.moment(), self.rng.choice(["state", "cloud"])
+        self.add("links_slow", at, self.rng.uniform(3, 7), source="node", target=target,
+                 amount=self.rng.uniform(0.2, 0.5) if target == "state" else self.rng.uniform(0.5, 3))
+        self.add("node_crash", at + self.rng.uniform(0.8, 3), self.end())
+
+    def lost_commit(self) -> None:
+        """The leader ends while what it wrote is lost on the way, and a zone that might tell what runs is not heard."""
+        for at in self._rounds():
+            zone = f"zone:{self.rng.choice(self.zones)}"
+            self._swarm(at)
+            self.add("node_cut", at, self.rng.uniform(1, 1.3), what="state", mode="lost", way="to")
+            self.add("node_crash", at + 0.8, self.rng.uniform(0.05, 0.3))
+            self.add("links_cut", at + 0.8, self.rng.uniform(3, 4.5), source=zone, target="node")
+
+    def all_at_once(self) -> None:
+        self.add("node_crash", self.moment(), self.end(), node=ALL)
+
+    def in_a_row(self) -> None:
+        at = self.moment()
+        for name in self.rng.sample(self.names, len(self.names)):
+            self.add("node_crash", at, self.end(), node=name)
+            at += self.rng.uniform(0.3, 20 / len(self.names))
+
+    def in_an_outage(self) -> None:
+        at, long = self.moment(40), self.rng.uniform(4, 25)
+        self.add("state_down", at, long)
+        for _ in range(self.rng.randint(1, 2)):
+            self.add("node_crash", at + self.rng.uniform(0, long + 1), self.end(), node=self.rng.choice([ALL, LEADER]))
+
+    def in_a_cut(self) -> None:
+        at, long = self.moment(45), self.rng.uniform(8, 40)
+        self.add("zone_cut", at, long, zone=self.rng.choice(self.zones), mode=self.rng.choice(["hold", "lost"]))
+        for _ in range(self.rng.randint(1, 3)):
+            self.add("node_crash", at + self.rng.uniform(0, long), self.end(), node=self.rng.choice([ALL, *self.names]))
+
+    def in_a_takeover(self) -> None:
+        at = self.moment()
+        self.add("node_crash", at, self.rng.uniform(3.5, 6))
+        self.add("node_crash", at + self.rng.uniform(2.9, 4.2), self.end())
+
+    def in_a_handover(self) -> None:
+        at = self.moment()
+        self.add("node_refused", at, self.rng.uniform(4, 12))
+        self.add("node_crash", at + self.rng.uniform(2, 3.5), self.end(), node=self.rng.choice(self.names))
+
+    # --- starts, commits and cancellations that are overtaken -----------------------------------
+
+    def overtaken_starts(self) -> None:
+        """Starts are late, so they are sent again; what they started is stopped and runs elsewhere when they land."""
+        for at in self._rounds():
+            self._late_starts(at, 1.2, self.rng.uniform(4, 6))
+            self.add("machines_taken", at + self.rng.uniform(2.2, 2.8), count=self.few, amount=4.0)
+
+    def late_commit(self) -> None:
+        """A commit is under way when the leader stands still, for longer than its lease."""
+        at = self.moment(40)
+        self.add("state_slow", at, self.rng.uniform(3, 8), amount=self.rng.uniform(0.4, 0.9))
+        self.add("node_freeze", at + self.rng.uniform(1, 3), self.rng.uniform(5, 15))
+
+    def long_cut(self) -> None:
+        """A leader and its zone are cut off for longer than a cancellation may take."""
+        at = self.rng.uniform(10, max(11.0, self.for_s - 75))
+        self.add("zone_cut", at, self.rng.uniform(46, 60), zone=self.rng.choice(self.zones), mode="hold")
+        self.add("users_cancel", at + self.rng.uniform(0, 3), count=self.few * 2)
+
+
+# Each plan has one of the first; the more often, the seldomer what it is aimed at is hit.
+AIMED = (Draw.in_flight, Draw.lost_commit, Draw.overtaken_starts, Draw.overtaken_starts, Draw.long_cut)
+OTHERS = (
+    Draw.slow_requests, Draw.all_at_once, Draw.in_a_row, Draw.in_an_outage, Draw.in_a_cut, Draw.in_a_takeover,
+    Draw.in_a_handover, Draw.late_commit,
+)
+
+
+def draw(
+    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 120.0
+) -> Plan:
+    """Some faults of all kinds by chance, one aimed pattern, and up to two others."""
+    plan = Draw(seed, nodes, machines, zones, for_s)
+    rng, few, node, end = plan.rng, plan.few, plan.node, plan.end
+    makers: list[Callable[[float], Fault]] = [
+        lambda at: Fault("node_cut", at, rng.uniform(3, 35), node=node(), what=rng.choice(WHAT), mode=rng.choice(MODES),
+                         way=rng.choice(WAYS)),
+        lambda at: Fault("node_refused", at, rng.uniform(3, 30), node=node()),
+        lambda at: Fault("peers_refuse", at, rng.uniform(5, 30)),
+        lambda at: Fault("node_freeze", at, rng.uniform(1, 25), node=node()),
+        lambda at: Fault("node_crash", at, end(), node=node()),
+        lambda at: Fault("node_slow", at, rng.uniform(5, 20), node=node(), amount=rng.uniform(2, 10)),
+        lambda at: Fault("machine_cut", at, rng.uniform(3, 40), count=rng.randint(1, few), mode=rng.choice(MODES)),
+        lambda at: Fault("machine_hang", at, rng.uniform(3, 30), count=rng.randint(1, few)),
+        lambda at: Fault("machine_die", at, count=rng.randint(1, few)),
+        lambda at: Fault("machines_taken", at, count=rng.randint(1, few), amount=rng.choice([0.0, 15.0])),
+        lambda at: Fault("zone_cut", at, rng.uniform(5, 40), zone=rng.choice(zones), mode=rng.choice(MODES)),
+        lambda at: Fault("links_slow", at, rng.uniform(5, 30), source="node", target=rng.choice(["worker", "state"]),
+                         amount=rng.uniform(0.05, 2.5)),
+        lambda at: Fault("links_lossy", at, rng.uniform(5, 30), source="node", target=rng.choice(["worker", "node"]),
+                         amount=rng.uniform(0.05, 0.5)),
+        lambda at: Fault("links_cut", at, rng.uniform(1, 8), source="node", target="worker"),
+        lambda at: Fault("links_cut", at, rng.uniform(1, 8), source="worker", target="node"),
+        lambda at: Fault("state_down", at, rng.uniform(2, 25)),
+        lambda at: Fault("state_slow", at, rng.uniform(5, 20), amount=rng.uniform(0.1, 0.6)),
+        lambda at: Fault("cloud_down", at, rng.uniform(5, 30)),
+        lambda at: Fault("no_capacity", at, rng.uniform(10, 60)),
+    ]
+    plan.faults += [rng.choice(makers)(rng.uniform(12, for_s * 0.75)) for _ in range(rng.randint(1, 4))]
+    for pattern in (rng.choice(AIMED), *rng.sample(OTHERS, rng.randint(0, 2))):
+        pattern(plan)
+    usual = machines / 2
+    return Plan(tuple(sorted(plan.faults, key=lambda f: f.at_s)), for_s, nodes, machines,
+                usual * rng.choice((0.5, 0.5, 1, 2)))
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import random
 import tomllib
-from collections.abc import Callable
 from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
@@ -15,7 +13,7 @@
     "node_refused": ("node",),  # by the state service alone
     "peers_refuse": (),
     "node_freeze": ("node",),
-    "node_crash": ("node",),  # back after for_s
+    "node_crash": ("node",),  # its process ends, and is back after for_s
     "node_slow": ("node", "amount"),
     "machine_cut": ("count", "mode"),
     "machine_hang": ("count",),
@@ -30,11 +28,14 @@
     "cloud_down": (),
     "no_capacity": (),
     "rush": ("name", "amount"),  # jobs of a class so many times as often
+    "users_cancel": ("count",),  # so many users of unfinished jobs at about the same time
 }
 WHAT = ("all", "state", "workers", "nodes")
 WAYS = ("both", "to", "from")
 MODES = ("hold", "lost")
 LEADER = "leader"  # as a node's name: whoever leads then
+ALL = "all"  # as the name of nodes that end: each of them
+LEAST_END = 0.05  # seconds: no process is back sooner
 
 
 class BadPlan(ValueError):
@@ -145,56 +146,6 @@
             values[key] = row[key]
         else:
             raise BadPlan(f"faults[{number}].{key}: must be a name, not {row[key]!r}")
+    if kind == "node_crash":
+        reader.number({"for_s": 0.0, **row}, "for_s", LEAST_END, 100_000)
     return Fault(**values)
-
-
-def draw(
-    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 120.0
-) -> Plan:
-    """Single and overlapping faults of all kinds."""
-    rng = random.Random(f"plan {seed}")
-    names = [LEADER, *(f"n{number}" for number in range(nodes))]
-    few = max(1, machines // 10)
-
-    def node() -> str:
-        return rng.choice(names[:1] * 2 + names)
-
-    makers: list[Callable[[float], Fault]] = [
-        lambda at: Fault("node_cut", at, rng.uniform(3, 35), node=node(), what=rng.choice(WHAT), mode=rng.choice(MODES),
-                         way=rng.choice(WAYS)),
-        lambda at: Fault("node_refused", at, rng.uniform(3, 30), node=node()),
-        lambda at: Fault("peers_refuse", at, rng.uniform(5, 30)),
-        lambda at: Fault("node_freeze", at, rng.uniform(1, 25), node=node()),
-        lambda at: Fault("node_crash", at, rng.uniform(2, 8), node=node()),
-        lambda at: Fault("node_slow", at, rng.uniform(5, 20), node=node(), amount=rng.uniform(2, 10)),
-        lambda at: Fault("machine_cut", at, rng.uniform(3, 40), count=rng.randint(1, few), mode=rng.choice(MODES)),
-        lambda at: Fault("machine_hang", at, rng.uniform(3, 30), count=rng.randint(1, few)),
-        lambda at: Fault("machine_die", at, count=rng.randint(1, few)),
-        lambda at: Fault("machines_taken", at, count=rng.randint(1, few), amount=rng.choice([0.0, 15.0])),
-        lambda at: Fault("zone_cut", at, rng.uniform(5, 40), zone=rng.choice(zones), mode=rng.choice(MODES)),
-        lambda at: Fault("links_slow", at, rng.uniform(5, 30), source="node", target=rng.choice(["worker", "state"]),
-                         amount=rng.uniform(0.05, 2.5)),
-        lambda at: Fault("links_lossy", at, rng.uniform(5, 30), source="node", target=rng.choice(["worker", "node"]),
-                         amount=rng.uniform(0.05, 0.5)),
-        lambda at: Fault("links_cut", at, rng.uniform(1, 8), source="node", target="worker"),
-        lambda at: Fault("links_cut", at, rng.uniform(1, 8), source="worker", target="node"),
-        lambda at: Fault("state_down", at, rng.uniform(2, 25)),
-        lambda at: Fault("state_slow", at, rng.uniform(5, 20), amount=rng.uniform(0.1, 0.6)),
-        lambda at: Fault("cloud_down", at, rng.uniform(5, 30)),
-        lambda at: Fault("no_capacity", at, rng.uniform(10, 60)),
-    ]
-    faults = [rng.choice(makers)(rng.uniform(12, for_s * 0.75)) for _ in range(rng.randint(3, 9))]
-    if rng.random() < 0.4:
-        # Answers are held, so commands are sent again; then those are held, while the first answers arrive.
-        at = rng.uniform(12, for_s * 0.6)
-        for _ in range(rng.randint(1, 4)):
-            then = at + rng.uniform(0.5, 2)
-            faults.append(Fault("links_cut", at, rng.uniform(1.5, 4), source="worker", target="node"))
-            faults.append(Fault("links_cut", then, rng.uniform(1, 5), source="node", target="worker"))
-            at += rng.uniform(5, 12)
-    if rng.random() < 0.4:
-        # A commit is under way when the leader stands still, for longer than its lease.
-        at = rng.uniform(12, for_s * 0.7)
-        faults.append(Fault("state_slow", at, rng.uniform(3, 8), amount=rng.uniform(0.4, 0.9)))
-        faults.append(Fault("node_freeze", at + rng.uniform(1, 3), rng.uniform(5, 15)))
-    return Plan(tuple(sorted(faults, key=lambda f: f.at_s)), for_s, nodes, machines, machines / 2)
--- a/oatport/lab/world/rehearse.py
+++ b/oatport/lab/world/rehearse.py
@@ -16,6 +16,7 @@
 
 from oatport.lab.world import plan as plans
 from oatport.lab.world.breaks import broken
+from oatport.lab.world.drawing import draw
 from oatport.lab.world.plan import Plan
 from oatport.lab.world.world import Result, World
 
@@ -23,7 +24,7 @@
 SHOWN, WIDTH = 40, 400  # of the newest messages of those concerned
 
 # name -> a plan of that family by seed, nodes and machines
-STORIES: dict[str, Callable[[int, int, int], Plan]] = {"any": plans.draw}
+STORIES: dict[str, Callable[[int, int, int], Plan]] = {"any": draw}
 
 
 @dataclass(frozen=True)
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -15,7 +15,7 @@
 from oatport.lab.world.loop import Host, VirtualLoop
 from oatport.lab.world.machine import MachineHost
 from oatport.lab.world.net import Net, NodeNetwork, Rule
-from oatport.lab.world.plan import LEADER, Fault, Plan
+from oatport.lab.world.plan import ALL, LEADER, Fault, Plan
 from oatport.lab.world.state import KeyStore, StateService, leader_of
 from oatport.lab.world.users import Balancer, User
 from oatport.lab.world.worker import Gangs, Worker
@@ -193,7 +193,7 @@
         balancer = Balancer(loop, self.net, self.people, binds)
         for seen in balancer.nodes:
             loop.create_task(balancer.probe(seen), context=self.people.context)
-        for ask in deployment.jobs(plan, random.Random(f"jobs {self.seed}"), loop.time() + 4.0):
+        for ask in deployment.jobs(plan, random.Random(f"jobs {self.seed}"), loop.time() + deployment.JOBS_FROM_S):
             self.checker.asks[ask.ref] = ask
             rng = random.Random(f"user {self.seed} {ask.ref}")
             user = User(balancer, self.people, ask, rng, self.checker.told)
@@ -278,11 +278,16 @@
         return lambda: None if host.dead else host.thaw()
 
     def _on_node_crash(self, fault: Fault) -> Callable[[], None] | None:
-        name = self._named(fault)
-        if name not in self.hosts:
-            return None
-        self.crash_node(name)
-        return lambda: self.start_node(name)
+        named = list(self.hosts) if fault.node == ALL else [self._named(fault)]
+        names = [name for name in named if name in self.hosts]
+        for name in names:
+            self.crash_node(name)
+
+        def end() -> None:
+            for name in names:
+                self.start_node(name)
+
+        return end
 
     def _on_node_slow(self, fault: Fault) -> Callable[[], None] | None:
         host = self.hosts.get(self._named(fault))
@@ -384,3 +389,10 @@
 
     def _on_rush(self, fault: Fault) -> None:
         """It is in the jobs that were drawn."""
+
+    def _on_users_cancel(self, fault: Fault) -> None:
+        now = self.loop.time()
+        asks = [ask for ask in self.checker.asks.values()
+                if ask.accepted_at is not None and ask.done_at is None and ask.cancel_at is None]
+        for ask in self._rng.sample(asks, min(fault.count, len(asks))):
+            ask.cancel_at = now
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -14,9 +14,10 @@
 from oatport.lab.world.breaks import GUARDS
 from oatport.lab.world.checker import Checker
 from oatport.lab.world.deployment import TYPES, cluster_settings
+from oatport.lab.world.drawing import draw
 from oatport.lab.world.loop import Host, VirtualLoop
 from oatport.lab.world.net import LATE_MOST, Net, Rule
-from oatport.lab.world.plan import BadPlan, Fault, Plan, draw, parse, read
+from oatport.lab.world.plan import BadPlan, Fault, Plan, parse, read
 from oatport.lab.world.rehearse import Asked, account, play, rehearse
 from oatport.lab.world.state import KeyStore
 from oatport.lab.world.users import Ask
@@ -334,6 +335,8 @@
     ({"faults": [{"kind": "node_cut", "at_s": float("nan")}]}, "faults[0].at_s: must be a number"),
     ({"faults": [{"kind": "zone_cut", "at_s": 1, "node": "n0"}]}, "faults[0].node: no field of zone_cut"),
     ({"faults": [{"kind": "node_cut", "at_s": 1, "way": "up"}]}, "faults[0].way: must be one of both, to, from"),
+    ({"faults": [{"kind": "node_crash", "at_s": 1, "for_s": 0.01}]}, "faults[0].for_s: must be a number from 0.05"),
+    ({"faults": [{"kind": "node_crash", "at_s": 1}]}, "faults[0].for_s: must be a number from 0.05"),
     ({"nodes": 8}, "nodes: must be a number from 1 to 7"),
     ({"machnies": 8}, "machnies: no such field"),
     ({"faults": 3}, "faults: must be a list"),
@@ -383,17 +386,21 @@
 
 
 def test_a_guard_that_is_off_is_noticed_unproven() -> None:
-    """Machines that are only cut off are taken to be gone. docs/rehearsal.md has all four guards."""
-    assert set(GUARDS) == {"fencing", "write-ahead", "forget", "unproven"}
+    """Machines that are only cut off are taken to be gone. docs/rehearsal.md has all guards."""
+    assert set(GUARDS) == {"fencing", "write-ahead", "forget", "unproven", "boot"}
     plan = Plan((Fault("machine_cut", 10.0, 30.0, count=8),), 24.0, 3, 20, 40.0)
     asked = Asked(plan=plan, guard="unproven")
-    assert any("ran_twice" in row for seed in range(4) for row in play(asked, seed).violations)
+    assert any("ran_twice" in row for seed in range(12) for row in play(asked, seed).violations)
 
 
 def test_a_failing_run_tells_its_seed_the_least_plan_and_the_last_messages() -> None:
-    """Starts that go out before they are recorded: a leader that loses the state service leaves some behind."""
-    cuts = tuple(Fault("node_cut", at, 7.0, what="state") for at in (9.0, 17.0))
-    plan = Plan((*cuts, Fault("cloud_down", 20.0, 2.0)), 26.0, 3, 20, 120.0)
+    """Starts go out before they are recorded, the leader ends, and a zone that could tell what runs is not heard."""
+    def lost(at: float) -> tuple[Fault, ...]:
+        return (Fault("rush", at - 1, 2.2, name="guest", amount=40.0),
+                Fault("node_cut", at, 1.2, what="state", mode="lost", way="to"), Fault("node_crash", at + 0.8, 0.1),
+                Fault("links_cut", at + 0.8, 4.0, source="zone:a", target="node"))
+
+    plan = Plan((*lost(10), *lost(26), Fault("cloud_down", 33.0, 0.5)), 34.0, 3, 20, 10.0)
     unwritten = Asked(plan=plan, guard="write-ahead")
     failed = next(result for seed in range(12) if (result := play(unwritten, seed)).violations)
     told = account(unwritten, failed)
