Connections to workers are kept for as long as there are sockets to spare

At 929 machines a leader held 1,873 of 2,044: one for each worker's reports, one kept for 30 s after each command. Weighed: one idle time for all sizes (a rush still fills it), closing after every command (a new connection for each of 30 a second), counting and evicting (private parts of the library). Now: how long an idle connection is kept follows from sockets, machines and commands a second; questions of a takeover and probes close theirs; a node at its bound takes reports, then users, and refuses the rest at once with Retry-After. The choice among nodes that stand for election moved to control/standing.py.

--- a/oatport/api/server.py
+++ b/oatport/api/server.py
@@ -83,6 +83,12 @@
         site = web.TCPSite(self._runner, self._host, self._port, backlog=256, reuse_address=True)
         await site.start()
 
+    @property
+    def held(self) -> int:
+        """Open connections."""
+        server = self._runner.server if self._runner is not None else None
+        return len(server.connections) if server is not None else 0
+
     async def close(self) -> None:
         if self._runner is not None:
             await self._runner.cleanup()
--- a/oatport/clients/http.py
+++ b/oatport/clients/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from enum import StrEnum
 from typing import Any, Protocol
 
 import aiohttp
@@ -64,9 +65,19 @@
     return seconds(base_us) * random.uniform(0.5, 1.5)
 
 
-def make_session(sockets: int) -> aiohttp.ClientSession:
+class Keep(StrEnum):
+    """What becomes of a connection after its answer."""
+
+    LONG = "long"  # kept for half a minute
+    WORKER = "worker"  # kept for as long as there are sockets to spare
+    ONCE = "once"  # closed
+
+
+def make_session(sockets: int, *, idle_us: int = 30 * SECOND) -> aiohttp.ClientSession:
+    """`sockets` // 4 connections in use at a time; `idle_us`: how long an idle one is kept, 0 for not at all."""
     connector = aiohttp.TCPConnector(
-        limit=max(16, sockets // 4), limit_per_host=12, keepalive_timeout=30.0, use_dns_cache=False,
+        limit=max(16, sockets // 4), limit_per_host=12, use_dns_cache=False, force_close=not idle_us,
+        **({"keepalive_timeout": seconds(idle_us)} if idle_us else {}),  # type: ignore[arg-type]
     )
     return aiohttp.ClientSession(
         connector=connector, timeout=aiohttp.ClientTimeout(total=None), auto_decompress=False,
@@ -84,7 +95,7 @@
 
 
 class Connector(Protocol):
-    def client(self, address: str) -> Requester: ...
+    def client(self, address: str, keep: Keep = Keep.LONG) -> Requester: ...
 
 
 class HttpConnector:
@@ -93,7 +104,7 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
 
-    def client(self, address: str) -> Requester:
+    def client(self, address: str, keep: Keep = Keep.LONG) -> Requester:
         return HttpClient(self._session, address)
 
 
--- a/oatport/clients/worker.py
+++ b/oatport/clients/worker.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from oatport import wire
-from oatport.clients.http import Connector, NoAnswer
+from oatport.clients.http import Connector, Keep, NoAnswer
 from oatport.times import MS
 
 COMMANDS_DEADLINE = 2_000 * MS
@@ -17,7 +17,7 @@
 
     async def reach(address: str) -> bool:
         try:
-            await WorkerClient(net, address).show()
+            await WorkerClient(net, address, Keep.ONCE).show()
         except NoAnswer:
             return False
         return True
@@ -26,8 +26,8 @@
 
 
 class WorkerClient:
-    def __init__(self, net: Connector, address: str) -> None:
-        self._http = net.client(address)
+    def __init__(self, net: Connector, address: str, keep: Keep = Keep.WORKER) -> None:
+        self._http = net.client(address, keep)
 
     async def commands(self, token: int, session: int, orders: list[wire.Command]) -> wire.Report:
         """The worker's report after the commands, or after refusing them (409): either way it has answered."""
--- a/oatport/lab/world/net.py
+++ b/oatport/lab/world/net.py
@@ -21,7 +21,7 @@
 
 from oatport import wire
 from oatport.api.server import Answer, BodyTooLarge, Handler
-from oatport.clients.http import NoAnswer, NotSent
+from oatport.clients.http import Keep, NoAnswer, NotSent
 from oatport.lab.world.loop import Host, VirtualLoop
 from oatport.times import MS, SECOND
 
@@ -290,9 +290,15 @@
     def session(self) -> aiohttp.ClientSession:
         raise NotImplementedError("no price feeds here")
 
-    def client(self, address: str) -> Client:
+    def client(self, address: str, keep: Keep = Keep.LONG) -> Client:
         return Client(self._net, self._host, address)
 
+    def expect(self, machines: int, a_second: float) -> None:
+        pass  # connections are not counted here
+
+    def held(self) -> int:
+        return 0
+
     def server(self, address: str, handler: Handler, body_limit: int = wire.BODY_LIMIT) -> _Listener:
         return _Listener(self._net, self._host, address, handler, body_limit)
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -79,6 +79,7 @@
         self._plan_wanted = asyncio.Event()
         self._send_wanted = asyncio.Event()
         self._sending: set[Machine] = set()
+        self._commanded = 0  # requests to workers since machines were last counted
         self._early: list[tuple[str, str, Any, int]] = []  # told before the records were loaded
         self._watch_from = 0
 
@@ -107,6 +108,7 @@
         self.keeper.start()
         if self.windows is not None:
             self.windows.start()
+        self._net.expect(len(self.cluster.machines), len(self.cluster.machines) / 10)
         introduce_all(self, self._net)
         self.wake()
 
@@ -314,6 +316,7 @@
             cluster.sent(machine, starts, now, direct=True)
             keys = [(task.name, task.attempt) for task in starts]
             session = machine.session
+            self._commanded += 1
             try:
                 report = await WorkerClient(self._net, machine.address).commands(self.token, session, orders)
             except NotSent:
@@ -340,6 +343,8 @@
             now = self.now()
             if now - accounted_at > ACCOUNT_EVERY:
                 accounted_at = now
+                self._net.expect(len(self.cluster.machines), self._commanded * SECOND / ACCOUNT_EVERY)
+                self._commanded = 0
                 self.cluster.account(now)
             for task in self.cluster.unacked:
                 if task.acked is None and task.machine is not None and task.repeat_start_at <= now:
--- a/oatport/service/network.py
+++ b/oatport/service/network.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 import aiohttp
 
 from oatport import wire
 from oatport.api.server import Handler, Server
-from oatport.clients.http import Connector, HttpClient, Requester, make_session
+from oatport.clients.http import Connector, HttpClient, Keep, Requester, make_session
+from oatport.control.sockets import MOST_IDLE, Sockets
+from oatport.times import SECOND, seconds
+
+CHANGED_BY = 1.5  # connections are kept for another time only if that differs by so much
+REPLACED_AFTER = 5 * SECOND  # requests on the session before have been answered by then, or given up
 
 
 class Listener(Protocol):
@@ -26,29 +32,66 @@
     def session(self) -> aiohttp.ClientSession:
         """For what is no part of the cluster, such as a price feed."""
 
+    def expect(self, machines: int, a_second: float) -> None:
+        """There are so many machines, and so many commands a second to them."""
+
+    def held(self) -> int:
+        """Connections that users, workers and other nodes hold."""
+
     def server(self, address: str, handler: Handler, body_limit: int = wire.BODY_LIMIT) -> Listener: ...
     async def close(self) -> None: ...
 
 
 class HttpNetwork:
     def __init__(self, sockets: int) -> None:
-        self._sockets = sockets
-        self._session: aiohttp.ClientSession | None = None
+        self._sockets = Sockets(sockets)
+        self._sessions: dict[Keep, aiohttp.ClientSession] = {}
+        self._idle_us = MOST_IDLE
+        self._replaced: set[asyncio.Task[None]] = set()
+        self._servers: list[Server] = []
 
     def open(self) -> None:
-        self._session = make_session(self._sockets)
+        self._sessions = {
+            Keep.LONG: make_session(self._sockets.most), Keep.WORKER: make_session(self._sockets.most),
+            Keep.ONCE: make_session(self._sockets.calls * 4, idle_us=0),
+        }
 
     @property
     def session(self) -> aiohttp.ClientSession:
-        assert self._session is not None
-        return self._session
-
-    def client(self, address: str) -> Requester:
-        return HttpClient(self.session, address)
+        return self._sessions[Keep.LONG]
+
+    def client(self, address: str, keep: Keep = Keep.LONG) -> Requester:
+        return HttpClient(self._sessions[keep], address)
+
+    def expect(self, machines: int, a_second: float) -> None:
+        idle = self._sockets.idle_us(machines, a_second)
+        if 1 / CHANGED_BY < idle / self._idle_us < CHANGED_BY:
+            return
+        self._idle_us = idle
+        before = self._sessions[Keep.WORKER]
+        self._sessions[Keep.WORKER] = make_session(self._sockets.most, idle_us=idle)
+        task = asyncio.get_running_loop().create_task(self._replace(before))
+        self._replaced.add(task)
+        task.add_done_callback(self._replaced.discard)
+
+    @staticmethod
+    async def _replace(session: aiohttp.ClientSession) -> None:
+        try:
+            await asyncio.sleep(seconds(REPLACED_AFTER))
+        finally:
+            await session.close()
+
+    def held(self) -> int:
+        return sum(server.held for server in self._servers)
 
     def server(self, address: str, handler: Handler, body_limit: int = wire.BODY_LIMIT) -> Listener:
-        return Server(address, handler, body_limit=body_limit)
+        server = Server(address, handler, body_limit=body_limit)
+        self._servers.append(server)
+        return server
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        for task in list(self._replaced):
+            task.cancel()
+        await asyncio.gather(*self._replaced, return_exceptions=True)
+        for session in self._sessions.values():
+            await session.close()
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -19,6 +19,8 @@
 from oatport.control.records import CATALOG_KEY, LEADER_KEY
 from oatport.control.recovery import UnknownType
 from oatport.control.repeats import Repeats
+from oatport.control.sockets import Sockets
+from oatport.control.standing import Standing
 from oatport.service.keeping import Keeping
 from oatport.service.lead import Lead
 from oatport.service.network import HttpNetwork, Network
@@ -34,10 +36,7 @@
 PING_EVERY = 700 * MS
 SERVED_FRESH = 2 * SECOND
 STAND_BACK = 6 * SECOND  # after giving the lead up, let others take it
-TWO_NODES_WAIT = 11 * SECOND  # a worker waits 4 s for a node and goes on 1 s later, twice (PROTOCOL)
 NEXT_DOWN_FOR = 4 * SECOND
-DEFER_NEXT_DOWN = 200 * MS
-DEFER_NEXT_NEAR = 150 * MS
 DEFER_CUT_OFF = 1_500 * MS
 TAKE_WITHIN = 2 * SECOND  # a handover that was agreed to is off after this
 
@@ -49,6 +48,7 @@
     ) -> None:
         self.settings = settings
         self._net = net or HttpNetwork(settings.cluster.resources.sockets)
+        self._sockets = Sockets(settings.cluster.resources.sockets)
         self.windows, self.repeats = windows, repeats
         self.tuning = tuning
         self.node_name = settings.node_name
@@ -57,6 +57,7 @@
         self.display: dict[str, tuple[int, int]] = {}
         self.peers: dict[str, PeerClient] = {}
         self.keeping = Keeping(self, settings.cluster)
+        self._standing = Standing(settings)
         self.group = TaskGroup()
         self.lead: Lead | None = None
         self.started = steady()
@@ -113,8 +114,15 @@
             await net.close()
 
     async def _handle(self, method: str, path: str, body: BodyReader) -> Answer:
-        report = path == wire.REPORT
-        return await (handle_report(self, method, body) if report else self.users.handle(method, path, body))
+        if path == wire.REPORT:
+            return await handle_report(self, method, body)
+        held = self._net.held()
+        if self._sockets.full(held) and path != wire.READY:
+            return Answer(503, {"error": "no connections left"}, {"Retry-After": "2", "Connection": "close"})
+        answer = await self.users.handle(method, path, body)
+        if self._sockets.closes(held):
+            answer.headers["Connection"] = "close"
+        return answer
 
     # --- reports ----------------------------------------------------------------------------
 
@@ -382,39 +390,18 @@
             if not await self._reaches(self._unreached):
                 return DEFER_CUT_OFF
             self._unreached = []
-        if not self._next_answers(self.node_name):
-            return DEFER_NEXT_DOWN
-        # After a leader in a cut zone workers outside try the next node. If that is cut off as well, two waits take
-        # 10 s of their leases: with one more crash 1,200 tasks were killed beside a node that could be reached.
-        zones = {peer.node_name: peer.zone for peer in self.settings.peers}
-        near = zones.get(self._after(self.node_name)) == self.settings.zone
-        return DEFER_NEXT_NEAR if near and set(zones.values()) != {self.settings.zone} else 0
-
-    def _after(self, name: str) -> str:
-        """The node that workers try next when that of this name does not answer."""
-        names = sorted([self.node_name, *self.peers])
-        return names[(names.index(name) + 1) % len(names)]
-
-    def _next_answers(self, name: str) -> bool:
-        """Workers that lose a node go on to the next one: would that answer them in time?
-
-        If it is down too, they wait for both in turn, which a short lease does not outlast.
-        """
-        if micros(self.settings.cluster.workers.lease_s) > TWO_NODES_WAIT:
-            return True
-        after = self._after(name)
-        return after == self.node_name or after in self._peer_served
+        return self._standing.deference(self._peer_served)
 
     def _better_placed(self) -> PeerClient | None:
         """A node that should rather lead: the next one after it answers, while that after this node is down."""
         now = steady()
-        if self._next_answers(self.node_name):
+        if self._standing.next_answers(self.node_name, self._peer_served):
             self._next_heard = now
         if now - self._next_heard < NEXT_DOWN_FOR:
             return None
         return next((
             peer for name, peer in self.peers.items()
-            if self._peer_served.get(name, (False, 0))[0] and self._next_answers(name)
+            if self._peer_served.get(name, (False, 0))[0] and self._standing.next_answers(name, self._peer_served)
         ), None)
 
     def nodes_heard(self) -> dict[str, list[int]]:
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from oatport.clients.http import NoAnswer, Refused
+from oatport.clients.http import Keep, NoAnswer, Refused
 from oatport.clients.worker import WorkerClient
 from oatport.control.darkness import Leaving
 from oatport.control.fleet import RELEASE_MOST, Fleet
@@ -206,7 +206,7 @@
 
     async def _probe(self, machine: Machine) -> None:
         try:
-            self._helm.heard(await WorkerClient(self._net, machine.address).show(), steady())
+            self._helm.heard(await WorkerClient(self._net, machine.address, Keep.ONCE).show(), steady())
         except NoAnswer:
             pass
         finally:
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,89 @@
+"""A node's connections: what grows with the machines, and who is refused first when they run out."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.api.server import Answer, BodyReader, Server
+from oatport.clients.http import HttpClient, Keep, NoAnswer, make_session
+from oatport.control.sockets import LEAST_IDLE, MOST_IDLE, Sockets
+from oatport.lab.world.state import KeyStore
+from oatport.service.network import HttpNetwork
+from oatport.service.node import Node
+from oatport.settings import Tuning
+from oatport.times import SECOND
+from tests.test_service import Body
+from tests.world import FakeStateClient, node_settings
+
+
+@pytest.mark.parametrize(("sockets", "machines"), [(2044, 929), (1515, 836), (1208, 929), (1087, 836), (600, 28)])
+def test_a_leader_keeps_room_for_all_workers_and_for_users_at_any_size(sockets: int, machines: int) -> None:
+    """1,873 of 2,044 were held at 929 machines: one for the reports of each, and one kept for 30 s after a command."""
+    plan = Sockets(sockets)
+    for a_second in (0.0, 3.0, 30.0, 300.0):
+        kept = plan.idle_us(machines, a_second) / SECOND * a_second
+        assert kept <= max(sockets * 0.72 - machines, 32, a_second) + 1  # what is commanded within a second is kept
+    assert plan.idle_us(machines, 0.0) == MOST_IDLE
+    assert plan.idle_us(machines, 3000.0) == LEAST_IDLE
+    assert plan.full(sockets) and plan.closes(sockets - plan.calls) and not plan.closes(machines)
+
+
+async def test_a_node_at_its_bound_takes_reports_and_refuses_users_at_once() -> None:
+    node = Node(node_settings(), Tuning())
+    asked: list[str] = []
+
+    class Users:
+        async def handle(self, method: str, path: str, body: Any) -> Answer:
+            asked.append(path)
+            return Answer(200)
+
+    node.users = Users()  # type: ignore[assignment]
+    node.state = FakeStateClient(KeyStore(lambda: 0))  # type: ignore[assignment]
+    most = node.settings.cluster.resources.sockets
+    held = 0
+    node._net.held = lambda: held  # type: ignore[method-assign]
+    poll = ("GET", f"{wire.SUBMISSIONS}/j-000001", Body(None))
+    assert (await node._handle(*poll)).headers == {}  # type: ignore[arg-type]
+    held = most - node._sockets.calls - 10
+    assert (await node._handle(*poll)).headers == {"Connection": "close"}  # type: ignore[arg-type]
+    held = most
+    answer = await node._handle(*poll)  # type: ignore[arg-type]
+    assert (answer.status, answer.headers["Connection"], len(asked)) == (503, "close", 2)
+    assert (await node._handle("GET", wire.READY, Body(None))).status == 200  # type: ignore[arg-type]
+    report = {"berth": "vm-000001", "address": "h:1", "berthKind": "m8", "harbor": "a", "driftwood": False, "watch": 1,
+              "logline": 1, "helm": 0, "recallS": None, "legs": []}
+    assert (await node._handle("POST", wire.REPORT, Body(report))).status == 421  # type: ignore[arg-type]
+
+
+async def test_connections_to_workers_are_kept_for_as_long_as_there_is_room() -> None:
+    async def handle(method: str, path: str, body: BodyReader) -> Answer:
+        return Answer(200, {"path": path})
+
+    server = Server("127.0.0.1:0", handle)
+    await server.start()
+    assert server._runner is not None
+    address = f"127.0.0.1:{server._runner.addresses[0][1]}"
+    net = HttpNetwork(2044)
+    net.open()
+    try:
+        for _ in range(3):
+            await net.client(address, Keep.ONCE).request("GET", "/show", timeout_us=SECOND)
+        assert server.held <= 1  # the last may just be closing
+        for _ in range(3):
+            await net.client(address, Keep.WORKER).request("GET", "/show", timeout_us=SECOND)
+        before = net.client(address, Keep.WORKER)
+        net.expect(929, 30.0)
+        net.expect(929, 31.0)  # hardly different: the connections stay
+        assert len(net._replaced) == 1
+        for client in (before, net.client(address, Keep.WORKER)):  # what is under way on the one before goes on
+            assert (await client.request("GET", "/show", timeout_us=SECOND))[0] == 200
+    finally:
+        await net.close()
+        await server.close()
+    session = make_session(16)
+    with pytest.raises(NoAnswer):
+        await HttpClient(session, address).request("GET", "/", timeout_us=SECOND)
+    await session.close()
--- a/tests/test_still.py
+++ b/tests/test_still.py
@@ -200,7 +200,7 @@
 
     And one that was cut off from workers took the lead again and again while another could reach them.
     """
-    node = Node(node_settings(), Tuning())
+    node = Node(replace(node_settings(), peers=[Peer("n1", "h:1"), Peer("n2", "h:2")]), Tuning())
     reached: list[str] = []
 
     async def reaches(addresses: list[str]) -> int:
