Starts in an answer on its way count as in flight; submissions at a pace that nodes find by themselves

Starts in an answer now keep their attempt from being forgotten until the worker's next report, which it sends only once the answer has come or is dropped. Test first seen to fail.

Each now begins with its part, rises while more is wanted, halves when refused, and those sent away are told when there is room. Weighed: shares agreed between nodes (the admission issue), a fixed share (a lone node would stay at a third).

--- a/oatport/api/intake.py
+++ b/oatport/api/intake.py
@@ -8,8 +8,9 @@
 from oatport import wire
 from oatport.clients.http import Bucket, NoAnswer, Refused
 from oatport.clients.state import Applied, StateClient
+from oatport.control.pace import Pace
 from oatport.control.records import ACCEPT_KEYS, job_key, live_key
-from oatport.times import MS, seconds
+from oatport.times import MS, seconds, steady
 
 TRIES = (700 * MS, 400 * MS)  # the state service mostly takes 10 ms, at times a few hundred
 WAITING_MOST = 100
@@ -24,14 +25,32 @@
 
 
 class Intake:
-    def __init__(self, state: StateClient, txn_ops: int) -> None:
+    def __init__(self, state: StateClient, txn_ops: int, pace: Pace) -> None:
         self._state = state
         self._most = max(1, txn_ops // ACCEPT_KEYS)
+        self._pace = pace
         self._waiting: dict[str, Entry] = {}
         self._running: set[asyncio.Task[None]] = set()
 
     def full(self) -> bool:
-        return len(self._waiting) >= WAITING_MOST
+        """One more would wait in vain: it could not be sent soon."""
+        now = steady()
+        ahead = (len(self._waiting) + 1) * ACCEPT_KEYS
+        if len(self._waiting) < WAITING_MOST and self._pace.wait(now, ahead) <= SENT_WITHIN:
+            return False
+        self._pace.wanting(now)
+        return True
+
+    def spare(self) -> bool:
+        return self._pace.spare(steady(), (len(self._waiting) + 1) * ACCEPT_KEYS)
+
+    def short(self) -> bool:
+        """Changes are short, rather than the state service away."""
+        return self._pace.short(steady())
+
+    def comes_back(self) -> int:
+        """When somebody who was sent away finds room, in whole seconds."""
+        return self._pace.book(steady(), ACCEPT_KEYS)
 
     async def add(self, ref: str, record: dict[str, Any]) -> Outcome:
         """Commit a job if it isn't known. KNOWN: there is a record. UNSURE: its user must come back."""
@@ -59,6 +78,10 @@
 
     async def _rounds(self) -> None:
         while self._waiting:
+            wait = self._pace.wait(steady(), min(len(self._waiting), self._most) * ACCEPT_KEYS)
+            if wait:
+                await asyncio.sleep(seconds(wait))
+                continue
             batch: dict[str, Entry] = {}
             size = 0
             for ref in list(self._waiting):
@@ -67,6 +90,7 @@
                     break
                 batch[ref] = self._waiting.pop(ref)
                 batch[ref][2].set_result(None)
+            self._pace.asked(steady(), len(batch) * ACCEPT_KEYS)
             try:
                 outcomes = await self._commit({ref: record for ref, (record, _, _) in batch.items()})
             except Exception:
@@ -91,7 +115,9 @@
                     )
                 except NoAnswer:
                     break
-                except Refused:
+                except Refused as error:
+                    if error.status == 429:
+                        self._pace.refused(steady())
                     return outcomes
                 if isinstance(result, Applied):
                     return outcomes | {ref: (CREATED, result.revision) for ref in left}
--- a/oatport/api/users.py
+++ b/oatport/api/users.py
@@ -13,6 +13,7 @@
 from oatport.clients.http import NoAnswer, Refused
 from oatport.clients.state import Applied, StateClient
 from oatport.control.model import Kind, allowed_types, job_record
+from oatport.control.pace import Pace
 from oatport.control.records import cancel_key, job_key
 from oatport.settings import Settings
 from oatport.times import time_of_day
@@ -44,7 +45,7 @@
         limits = settings.cluster.state
         self._slots = Slots(SLOTS)
         self._view = JobView(state, self._slots, limits.rps)
-        self._intake = Intake(state, limits.txn_ops)
+        self._intake = Intake(state, limits.txn_ops, Pace(limits.write_rps, settings.cluster.size))
         self._idle_share = Share(limits.write_rps)
         self._busy = 0
 
@@ -106,8 +107,10 @@
     async def _accept(self, job: wire.Submission) -> Answer:
         """Commit the job, or say at once when to come back."""
         if self._intake.full():
-            return later()
-        if job.priority == IDLE and not self._view.known(job.ref) and not self._idle_share.take():
+            known = await self._read(job.ref) if self._view.known(job.ref) else None
+            return Answer(200, known) if known else later(self._intake.comes_back())
+        idle = job.priority == IDLE and not self._view.known(job.ref)
+        if idle and not (self._intake.spare() and self._idle_share.take()):
             return later(IDLE_LATER_S)  # the others' submissions and the leader's claims go first
         record = job_record(job, time_of_day(), wire.QUEUED)
         mark = self._view.mark()
@@ -117,7 +120,7 @@
             self._backstage.tell_accepted(job.ref, record, revision)
             return Answer(201, {"ref": job.ref, "status": wire.QUEUED})
         known = None if outcome == UNSURE else await self._read(job.ref)
-        return Answer(200, known) if known else later()
+        return Answer(200, known) if known else later(self._intake.comes_back() if self._intake.short() else 1)
 
     # --- show -------------------------------------------------------------------------------
 
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -205,6 +205,7 @@
             # Starts sent under an earlier session are refused from now on, and so are those of an
             # earlier token once the worker has seen ours.
             machine.unanswered.clear()
+            machine.in_answer.clear()
             # Its images are kept, but a fetch that nobody waits for any more is given up.
             machine.images = {image: at for image, at in machine.images.items() if at == 1}
         machine.session, machine.seq, machine.token = report.session, report.seq, report.token
@@ -440,7 +441,7 @@
 
     def _may_forget(self, machine: Machine, name: str, attempt: int) -> bool:
         """Not while a start of it may land (it would start again), nor before its end is committed."""
-        if machine.unanswered.get((name, attempt)):
+        if machine.unanswered.get((name, attempt)) or (name, attempt) in machine.in_answer:
             return False
         parts = split_task(name)
         if parts is None:
@@ -456,6 +457,14 @@
         key = chunk_key(job.ref, parts[1] // CHUNK_TASKS)
         return key not in self.dirty and key not in self.urgent and key not in self.in_flight
 
+    def report_came(self, machine: Machine, report: wire.Report) -> None:
+        """A report that is about to be answered. A worker has one in flight at a time: what the answer to an earlier
+        one told it has been executed by now, or is dropped (PROTOCOL, "Workers -> controller nodes")."""
+        number = (report.session, report.seq)
+        if number > machine.answered_report:  # not one that a cut held
+            machine.answered_report = number
+            machine.in_answer.clear()
+
     def sent(self, machine: Machine, starts: Iterable[Task], now: int, *, direct: bool) -> None:
         """Starts are about to go out under the machine's present session."""
         for task in starts:
@@ -465,6 +474,10 @@
                 key = (task.name, task.attempt)
                 machine.unanswered[key] = machine.unanswered.get(key, 0) + 1
                 task.repeat_start_at = now + SECOND
+            else:
+                # On a slow link direct commands overtake an answer: a task was started by one, stopped and forgotten,
+                # and then started again by the answer, while it ran elsewhere.
+                machine.in_answer.add((task.name, task.attempt))
 
     def answered(self, machine: Machine, starts: Iterable[tuple[str, int]]) -> None:
         """A direct command was answered, whether executed or refused: its starts can't land later."""
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -261,6 +261,9 @@
     # Attempts with sent starts whose fate is unknown, and how many: one may still land, so the
     # attempt is not forgotten (a start after a `forget` would start it again).
     unanswered: dict[tuple[str, int], int] = field(default_factory=dict)
+    # Starts in the answer to the report that came last, and that report's session and number.
+    in_answer: set[tuple[str, int]] = field(default_factory=set)
+    answered_report: tuple[int, int] = (0, 0)
     images: dict[str, int] = field(default_factory=dict)  # image -> first claim; 1: it is there
     free_cpus: float = 0.0
     free_gpus: float = 0.0
--- /dev/null
+++ b/oatport/control/pace.py
@@ -0,0 +1,78 @@
+"""How many changes a second a node asks of the state service for users' submissions, found out by itself.
+
+The limit is one for all nodes and for the leader's claims, and no node knows what the others use. Each begins with its
+part, goes up slowly while it is asked for more, and down by half when it is refused. Who finds no room is told when
+there will be some: each one a little later than the one before, so that they don't all come back at once.
+"""
+
+from __future__ import annotations
+
+from oatport.times import SECOND
+
+USED = 0.9  # of the limit: the rest is for the leader's own records
+BURST = 0.3  # of the limit, for a node that was quiet: three such at once find it in the limit's own burst
+IDLE = 0.4  # of its burst, which the lowest priority leaves to the others
+LEAST = 0.1  # of the limit, whatever was refused
+RISE = 0.3  # of the limit a second, while more is asked for
+LONGEST_S = 9  # nobody is sent away for longer
+
+
+class Pace:
+    """Times are steady, in microseconds; rates are changes a second."""
+
+    def __init__(self, limit: float, nodes: int) -> None:
+        self._most = limit * USED
+        self._least = limit * LEAST
+        self._rise = limit * RISE
+        self.rate = self._most / max(nodes, 1)
+        self._burst = limit * BURST
+        self._level = self._burst
+        self._at = 0
+        self._risen_at = 0
+        self._refused_at = -2 * SECOND
+        self._booked_until = 0
+
+    def _now(self, now: int) -> float:
+        self._level = min(self._burst, self._level + (now - self._at) * self.rate / SECOND)
+        self._at = now
+        return self._level
+
+    def wait(self, now: int, changes: int) -> int:
+        """How long until so many may be asked for."""
+        missing = min(changes, self._burst) - self._now(now)
+        return round(missing / self.rate * SECOND) + 1 if missing > 0 else 0
+
+    def spare(self, now: int, changes: int) -> bool:
+        """There is enough for so many of work of the lowest priority beside the others'."""
+        return self._now(now) - changes >= self._burst * IDLE
+
+    def asked(self, now: int, changes: int) -> None:
+        self._now(now)
+        self._level -= changes
+
+    def wanting(self, now: int) -> None:
+        """More is asked for than goes: go up, unless just refused."""
+        passed = min(now - self._risen_at, SECOND)
+        self._risen_at = now
+        if now - self._refused_at > SECOND:
+            self.rate = min(self._most, self.rate + self._rise * passed / SECOND)
+
+    def refused(self, now: int) -> None:
+        """Above the limit: half of it from now on; once for all that were under way together."""
+        if now - self._refused_at < SECOND // 2:
+            return
+        self._refused_at = now
+        self.rate = max(self._least, self.rate / 2)
+        self._level = 0.0
+
+    def short(self, now: int) -> bool:
+        """Refused a moment ago."""
+        return now - self._refused_at < SECOND
+
+    def book(self, now: int, changes: int) -> int:
+        """Whole seconds until there is room for one more that was sent away."""
+        self._booked_until = max(self._booked_until, now) + round(changes / self.rate * SECOND)
+        most = now + LONGEST_S * SECOND
+        if self._booked_until > most:
+            self._booked_until = now + SECOND  # more than that: from the front again
+        return max(1, -((now - self._booked_until) // SECOND))
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -314,6 +314,7 @@
         hung = [m for m in self._some(fault.count) if not m.host.frozen]
         for machine in hung:
             machine.host.freeze()
+            self._outlives_no_lease(machine)
 
         def end() -> None:
             for machine in hung:
@@ -323,6 +324,16 @@
 
         return end
 
+    def _outlives_no_lease(self, machine: MachineHost) -> None:
+        """Within its lease a machine that hangs may go on at any time (PROTOCOL); after it nothing is left to go on."""
+        if not machine.host.frozen or machine.host.dead:
+            return
+        left = machine.worker.answered_at + machine.worker.lease_us - machine.host.steady()
+        if left < 0:
+            machine.worker.kill("lease")
+        else:
+            self.loop.later(left + 1000, None, self._outlives_no_lease, machine)
+
     def _on_machine_die(self, fault: Fault) -> None:
         for machine in self._some(fault.count):
             name = machine.host.name
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -165,6 +165,41 @@
     assert worker.starts == [key]
 
 
+def test_a_start_in_an_answer_on_its_way_is_not_forgotten_by_direct_commands() -> None:
+    """On a slow link they overtook it: the task ran elsewhere when the answer started it once more."""
+    world = World()
+    worker = world.machine(1)
+    world.settle()
+    ref = world.submit(legs=1, voyageS=50.0)
+    world.plan()
+    world.commit()
+    cluster, key = world.cluster, (f"{ref}/0", 1)
+    report = wire.report(worker.report())
+    machine = cluster.on_report(report, world.now, world.now)
+    assert machine is not None
+    cluster.report_came(machine, report)
+    late, starts = cluster.commands(machine, world.now, direct=False)
+    cluster.sent(machine, starts, world.now, direct=False)  # on its way
+    cluster.to_send.add(machine)
+    world.send()
+    cluster.stop(cluster.jobs[ref].tasks[0], 0.0)
+    world.send()
+    world.commit()
+    assert worker.tasks[key].status == "ended"
+    assert cluster.jobs[ref].on_machines == 0  # it may run elsewhere
+    cluster.to_send.add(machine)
+    world.send()
+    cluster.report_came(machine, report)  # held by a cut, that report comes once more
+    cluster.to_send.add(machine)
+    world.send()
+    worker.commands({"helm": cluster.token, "watch": 1, "orders": late})
+    assert worker.starts == [key]
+    world.report(worker)  # it reports again, so it has had that answer, or dropped it
+    cluster.to_send.add(machine)
+    world.send()
+    assert key not in worker.tasks
+
+
 def test_an_end_is_committed_before_it_is_forgotten() -> None:
     world = World()
     worker = world.machine(1)
