--- a/oatport/lab/world/checker.py
+++ b/oatport/lab/world/checker.py
@@ -15,6 +15,7 @@
 
 POLLS_FAIL_FOR = 90.0
 EPSILON = 1e-6
+STARTED_WITHIN = 30.0  # seconds; a job accepted later than so long before the end may just be waiting for a boot
 
 
 @dataclass
@@ -179,6 +180,31 @@
             if ask.body["rig"] == "standing":
                 ask.up_us += round((self.loop.time() - place.since) * SECOND)
 
+    def starved(self, workers: list[Worker]) -> list[str]:
+        """Classes and teams less than half of whose jobs were ever started, though one that waits finds room now."""
+        end = self.loop.time()
+        found = []
+        for by in ("cargo", "crew"):
+            rows: defaultdict[str, list[Ask]] = defaultdict(list)
+            for ask in self.asks.values():
+                if ask.accepted_at is not None and ask.accepted_at < end - STARTED_WITHIN and not ask.mistaken and (
+                        ask.cancel_at is None or ask.cancel_at > end):
+                    rows[str(ask.body[by])].append(ask)
+            for name, asks in sorted(rows.items()):
+                waiting = [ask for ask in asks if ask.started_at is None]
+                if len(waiting) * 2 > len(asks) and any(self._fits(a.body, w) for a in waiting for w in workers):
+                    found.append(f"{name}: {len(waiting)} of {len(asks)} jobs wait beside free room")
+        return found
+
+    def _fits(self, body: dict[str, Any], worker: Worker) -> bool:
+        limits = next(t for t in self.settings.teams if t.name == body["crew"])
+        use = self._use[str(body["crew"])][0] + float(body["cores"])
+        if (limits.cpus_max > 0 and use > limits.cpus_max) or (worker.spot and not body["driftwood"]):
+            return False
+        if (body["berthKinds"] is not None and worker.type not in body["berthKinds"]):
+            return False
+        return body["harbor"] in (None, worker.zone) and worker.fits(body)
+
     def served(self, by: str) -> dict[str, dict[str, float]]:
         """By class (`cargo`) or team (`crew`): shares accepted, started and completed of what was first submitted.
 
--- a/oatport/lab/world/rehearse.py
+++ b/oatport/lab/world/rehearse.py
@@ -112,6 +112,7 @@
         "leaderless_s_max": max(result.leaderless_s_max for result in results),
         "served_min_class": round(min(result.least(result.by_class) for result in results), 4),
         "served_min_team": round(min(result.least(result.by_team) for result in results), 4),
+        "starved": sum(bool(result.starved) for result in results),
         "state_429": total["state_429"],
         "wall_s": round(time.monotonic() - began, 1),
         "starts": total["starts"], "stops": total["stops"], "rentals": total["rentals"],
--- a/oatport/lab/world/worker.py
+++ b/oatport/lab/world/worker.py
@@ -312,6 +312,10 @@
             self._image_there(key, held, now)
         self.stirred()
 
+    def fits(self, job: dict[str, Any]) -> bool:
+        """A task of this job finds room here now."""
+        return self._has_room(job, [held for held in self.tasks.values() if held.status != "ended"])
+
     def _has_room(self, job: dict[str, Any], live: list[Held]) -> bool:
         if sum(h.cores for h in live) + float(job["cores"]) > self.cores + 1e-9:
             return False
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -41,6 +41,7 @@
     by_class: dict[str, dict[str, float]]
     by_team: dict[str, dict[str, float]]
     last: list[str] = field(default_factory=list)  # the newest messages when a rule first broke
+    starved: list[str] = field(default_factory=list)  # classes and teams under half beside free room
 
     def least(self, rows: dict[str, dict[str, float]]) -> float:
         return min((min(row.values()) for row in rows.values()), default=1.0)
@@ -165,6 +166,7 @@
             self.loop.run_until_complete(asyncio.Task(self._play(), loop=self.loop, context=Context()))
         finally:
             errors = list(self.loop.errors)
+            starved = self.checker.starved([m.worker for m in self.machines.values() if not m.host.frozen])
             self.checker.close()
             self.checker.closed = self.net.closed = True
             self.loop.dissolve()
@@ -176,7 +178,7 @@
         return Result(
             self.seed, self.checker.violations, errors, self.net.digest, self.net.sent, counts,
             round(self._leaderless_most, 2), self.checker.served("cargo"), self.checker.served("crew"),
-            self._last,
+            self._last, starved,
         )
 
     def _remember(self) -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -10,14 +10,17 @@
 
 import pytest
 
+from oatport import wire
 from oatport.clients.http import NoAnswer, NotSent
+from oatport.control.model import Job
+from oatport.control.work import Work
 from oatport.lab.world.breaks import GUARDS
 from oatport.lab.world.checker import Checker
 from oatport.lab.world.deployment import TYPES, cluster_settings
 from oatport.lab.world.drawing import draw
 from oatport.lab.world.loop import Host, VirtualLoop
 from oatport.lab.world.net import LATE_MOST, Net, Rule
-from oatport.lab.world.plan import BadPlan, Fault, Plan, parse, read
+from oatport.lab.world.plan import ALL, BadPlan, Fault, Plan, parse, read
 from oatport.lab.world.rehearse import Asked, account, play, rehearse
 from oatport.lab.world.state import KeyStore
 from oatport.lab.world.users import Ask
@@ -415,3 +418,22 @@
     assert (figures["seeds"], figures["violations"], figures["caught"], figures["errors"]) == (2, 0, 0, 0)
     named = {"lease_kills", "leaderless_s_max", "served_min_class", "served_min_team", "state_429", "wall_s"}
     assert named <= figures.keys()
+
+
+def test_no_class_and_no_team_is_under_half_while_there_is_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A rush of one class ten times: the others and the least of the teams are served, or have no room."""
+    rush = Fault("rush", 5.0, 30.0, name="batch", amount=10.0)
+    plan = Plan((rush, Fault("node_crash", 20.0, 0.1, node=ALL)), 60.0, 3, 24, 20.0)
+    served = play(Asked(plan=plan), 6)
+    assert (served.violations, served.errors, served.starved) == ([], [], [])
+    add = Work.add_job
+
+    def passes_over(self: Work, ref: str, spec: wire.Submission, version: int, at: int) -> Job:
+        job = add(self, ref, spec, version, at)
+        if spec.job_class == "batch":
+            self.waiting.discard(job)
+        return job
+
+    monkeypatch.setattr(Work, "add_job", passes_over)
+    starved = play(Asked(plan=Plan((), 60.0, 3, 24, 20.0)), 6).starved
+    assert [row.split(":")[0] for row in starved] == ["batch", "south"]
