--- a/oatport/service/takeover.py
+++ b/oatport/service/takeover.py
@@ -6,7 +6,7 @@
 import logging
 from typing import Any
 
-from oatport.clients.http import Keep, NoAnswer, jitter
+from oatport.clients.http import NoAnswer, jitter
 from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
 from oatport.control.model import Machine
@@ -43,7 +43,7 @@
 
 async def introduce(helm: Helm, net: Network, machine: Machine) -> None:
     """Let a machine know the new token, and learn what is on it, without waiting for its report."""
-    client = WorkerClient(net, machine.address, Keep.ONCE)
+    client = WorkerClient(net, machine.address)
     for _ in range(INTRODUCTIONS):
         if helm.over or machine.gone or machine.confirmed(helm.token):
             return
