--- a/oatport/control/pace.py
+++ b/oatport/control/pace.py
@@ -1,8 +1,9 @@
 """How many changes a second a node asks of the state service for users' submissions, found out by itself.
 
 The limit is one for all nodes and for the leader's claims, and no node knows what the others use. Each begins with its
-part, goes up slowly while it is asked for more, and down by half when it is refused. Who finds no room is told when
-there will be some: each one a little later than the one before, so that they don't all come back at once.
+part, goes up slowly while it is asked for more, and back to its part when it is refused. Not below: a swarm of guests,
+whose claims the leader writes, once had every node at a tenth, and other teams' jobs were sent away. Who finds no room
+is told when there will be some: each one a little later than the one before, so that they don't all come back at once.
 """
 
 from __future__ import annotations
@@ -12,7 +13,6 @@
 USED = 0.9  # of the limit: the rest is for the leader's own records
 BURST = 0.3  # of the limit, for a node that was quiet: three such at once find it in the limit's own burst
 IDLE = 0.4  # of its burst, which the lowest priority leaves to the others
-LEAST = 0.1  # of the limit, whatever was refused
 RISE = 0.3  # of the limit a second, while more is asked for
 LONGEST_S = 9  # nobody is sent away for longer
 
@@ -22,9 +22,8 @@
 
     def __init__(self, limit: float, nodes: int) -> None:
         self._most = limit * USED
-        self._least = limit * LEAST
         self._rise = limit * RISE
-        self.rate = self._most / max(nodes, 1)
+        self._part = self.rate = self._most / max(nodes, 1)
         self._burst = limit * BURST
         self._level = self._burst
         self._at = 0
@@ -58,12 +57,9 @@
             self.rate = min(self._most, self.rate + self._rise * passed / SECOND)
 
     def refused(self, now: int) -> None:
-        """Above the limit: half of it from now on; once for all that were under way together."""
-        if now - self._refused_at < SECOND // 2:
-            return
+        """Above the limit: back to its part."""
         self._refused_at = now
-        self.rate = max(self._least, self.rate / 2)
-        self._level = 0.0
+        self.rate = self._part
 
     def short(self, now: int) -> bool:
         """Refused a moment ago."""
