--- a/oatport/control/pace.py
+++ b/oatport/control/pace.py
@@ -12,7 +12,9 @@
 
 USED = 0.9  # of the limit: the rest is for the leader's own records
 BURST = 0.3  # of the limit, for a node that was quiet: three such at once find it in the limit's own burst
-IDLE = 0.4  # of its burst, which the lowest priority leaves to the others
+CALM_BURST = 0.6  # once nothing was refused for a while
+CALM_AFTER = 10 * SECOND
+IDLE = 0.6  # of its burst, which the lowest priority leaves to the others
 RISE = 0.3  # of the limit a second, while more is asked for
 LONGEST_S = 9  # nobody is sent away for longer
 
@@ -24,14 +26,17 @@
         self._most = limit * USED
         self._rise = limit * RISE
         self._part = self.rate = self._most / max(nodes, 1)
-        self._burst = limit * BURST
-        self._level = self._burst
-        self._at = 0
+        self._limit = limit
+        self._burst = self._level = limit * BURST
+        self._at = self._calm_since = -1  # not begun
         self._risen_at = 0
         self._refused_at = -2 * SECOND
         self._booked_until = 0
 
     def _now(self, now: int) -> float:
+        if self._at < 0:
+            self._at = self._calm_since = now
+        self._burst = self._limit * (CALM_BURST if now - self._calm_since > CALM_AFTER else BURST)
         self._level = min(self._burst, self._level + (now - self._at) * self.rate / SECOND)
         self._at = now
         return self._level
@@ -58,7 +63,7 @@
 
     def refused(self, now: int) -> None:
         """Above the limit: back to its part."""
-        self._refused_at = now
+        self._refused_at = self._calm_since = now
         self.rate = self._part
 
     def short(self, now: int) -> bool:
