--- a/oatport/api/intake.py
+++ b/oatport/api/intake.py
@@ -21,7 +21,7 @@
 
 CREATED, KNOWN, UNSURE = "created", "known", "unsure"
 Outcome = tuple[str, int]  # what became of it, and the revision it was created with
-Entry = tuple[dict[str, Any], asyncio.Future[Outcome], asyncio.Future[None]]  # record, outcome, sent
+Entry = tuple[dict[str, Any], asyncio.Future[Outcome], asyncio.Future[None], bool]  # record, outcome, sent, goes last
 
 
 class Intake:
@@ -33,9 +33,9 @@
         self._running: set[asyncio.Task[None]] = set()
 
     def full(self) -> bool:
-        """One more would wait in vain: it could not be sent soon."""
+        """One more would wait in vain: it could not be sent soon. Work of the lowest priority goes last."""
         now = steady()
-        ahead = (len(self._waiting) + 1) * ACCEPT_KEYS
+        ahead = (sum(not entry[3] for entry in self._waiting.values()) + 1) * ACCEPT_KEYS
         if len(self._waiting) < WAITING_MOST and self._pace.wait(now, ahead) <= SENT_WITHIN:
             return False
         self._pace.wanting(now)
@@ -52,12 +52,12 @@
         """When somebody who was sent away finds room, in whole seconds."""
         return self._pace.book(steady(), ACCEPT_KEYS)
 
-    async def add(self, ref: str, record: dict[str, Any]) -> Outcome:
+    async def add(self, ref: str, record: dict[str, Any], last: bool = False) -> Outcome:
         """Commit a job if it isn't known. KNOWN: there is a record. UNSURE: its user must come back."""
         entry = self._waiting.get(ref)
         if entry is None:
             loop = asyncio.get_running_loop()
-            entry = self._waiting[ref] = (record, loop.create_future(), loop.create_future())
+            entry = self._waiting[ref] = (record, loop.create_future(), loop.create_future(), last)
             created = True
         else:
             created = False  # submitted twice at once: the second is told what became of the first
@@ -78,26 +78,27 @@
 
     async def _rounds(self) -> None:
         while self._waiting:
-            wait = self._pace.wait(steady(), min(len(self._waiting), self._most) * ACCEPT_KEYS)
+            wait = self._pace.wait(steady(), ACCEPT_KEYS)
             if wait:
                 await asyncio.sleep(seconds(wait))
                 continue
             batch: dict[str, Entry] = {}
             size = 0
-            for ref in list(self._waiting):
+            most = min(self._most, max(1, self._pace.room(steady()) // ACCEPT_KEYS))
+            for ref in sorted(self._waiting, key=lambda ref: self._waiting[ref][3]):
                 size += len(wire.dumps(self._waiting[ref][0])) * ACCEPT_KEYS
-                if batch and (len(batch) >= self._most or size > BYTES_MOST):
+                if batch and (len(batch) >= most or size > BYTES_MOST):
                     break
                 batch[ref] = self._waiting.pop(ref)
                 batch[ref][2].set_result(None)
             self._pace.asked(steady(), len(batch) * ACCEPT_KEYS)
             try:
-                outcomes = await self._commit({ref: record for ref, (record, _, _) in batch.items()})
+                outcomes = await self._commit({ref: record for ref, (record, *_) in batch.items()})
             except Exception:
-                for _, future, _ in batch.values():
+                for _, future, *_ in batch.values():
                     future.set_result((UNSURE, 0))
                 raise
-            for ref, (_, future, _) in batch.items():
+            for ref, (_, future, *_) in batch.items():
                 future.set_result(outcomes.get(ref, (UNSURE, 0)))
 
     async def _commit(self, records: dict[str, dict[str, Any]]) -> dict[str, Outcome]:
--- a/oatport/api/users.py
+++ b/oatport/api/users.py
@@ -114,7 +114,7 @@
             return later(IDLE_LATER_S)  # the others' submissions and the leader's claims go first
         record = job_record(job, time_of_day(), wire.QUEUED)
         mark = self._view.mark()
-        outcome, revision = await self._intake.add(job.ref, record)
+        outcome, revision = await self._intake.add(job.ref, record, idle)
         if outcome == CREATED:
             self._view.created(job.ref, record, revision, mark)
             self._backstage.tell_accepted(job.ref, record, revision)
--- a/oatport/control/pace.py
+++ b/oatport/control/pace.py
@@ -41,6 +41,10 @@
         self._at = now
         return self._level
 
+    def room(self, now: int) -> int:
+        """Changes that may be asked for now."""
+        return max(0, int(self._now(now)))
+
     def wait(self, now: int, changes: int) -> int:
         """How long until so many may be asked for."""
         missing = min(changes, self._burst) - self._now(now)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -121,3 +122,29 @@
     now[0] += 2 * SECOND
     assert not intake.short()
     assert (await intake.add("j-000001", {"job": {}}))[0] == CREATED
+
+
+async def test_work_of_the_lowest_priority_that_waits_holds_up_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A batch once waited until there was room for all of it, guests' jobs in front."""
+    now = [SECOND]
+    monkeypatch.setattr(intake_module, "steady", lambda: now[0])
+    sent: list[list[str]] = []
+
+    class State:
+        async def commit(self, conditions: dict[str, int], sets: dict[str, Any], *, timeout_us: int) -> Applied:
+            sent.append([key.removeprefix("jobs/") for key in conditions])
+            return Applied(7)
+
+    pace = Pace(60.0, 3)
+    intake = Intake(State(), 12, pace)  # type: ignore[arg-type]
+    pace.asked(now[0], 16)  # of 18
+    idle = [asyncio.create_task(intake.add(f"j-00000{n}", {"job": {}}, last=True)) for n in range(1, 6)]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert len(sent[0]) == 1  # as much as there is room for
+    now[0] += SECOND // 8
+    assert not intake.full()
+    assert (await intake.add("j-000009", {"job": {}}))[0] == CREATED
+    assert sent[1] == ["j-000009"]
+    now[0] += SECOND
+    await asyncio.gather(*idle)
