--- a/oatport/service/network.py
+++ b/oatport/service/network.py
@@ -11,9 +11,10 @@
 from oatport.api.server import Handler, Server
 from oatport.clients.http import Connector, HttpClient, Keep, Requester, make_session
 from oatport.control.sockets import MOST_IDLE, Sockets
-from oatport.times import SECOND, seconds
+from oatport.times import MS, SECOND, seconds, steady
 
 CHANGED_BY = 1.5  # connections are kept for another time only if that differs by so much
+COUNTED_FOR = 250 * MS
 REPLACED_AFTER = 5 * SECOND  # requests on the session before have been answered by then, or given up
 
 
@@ -49,6 +50,7 @@
         self._idle_us = MOST_IDLE
         self._replaced: set[asyncio.Task[None]] = set()
         self._servers: list[Server] = []
+        self._held, self._counted_at = 0, -COUNTED_FOR
 
     def open(self) -> None:
         self._sessions = {
@@ -82,7 +84,11 @@
             await session.close()
 
     def held(self) -> int:
-        return sum(server.held for server in self._servers)
+        # Counting takes as long as there are connections, and every user's request asks.
+        now = steady()
+        if now - self._counted_at > COUNTED_FOR:
+            self._held, self._counted_at = sum(server.held for server in self._servers), now
+        return self._held
 
     def server(self, address: str, handler: Handler, body_limit: int = wire.BODY_LIMIT) -> Listener:
         server = Server(address, handler, body_limit=body_limit)
--- a/tests/test_dark.py
+++ b/tests/test_dark.py
@@ -14,11 +14,12 @@
 from oatport.control.steward import OUT_OF_TOUCH, Steward
 from oatport.lab.world.state import KeyStore
 from oatport.lab.world.worker import Worker
+from oatport.service.lead import Lead
 from oatport.service.node import Node
 from oatport.service.watching import Watcher
 from oatport.settings import Team, Tuning
 from oatport.times import SECOND, steady
-from tests.test_service import FakePeer, leader
+from tests.test_service import FakePeer, Home, leader
 from tests.world import FakeStateClient, World, cluster_settings, node_settings
 
 
@@ -283,26 +284,31 @@
     assert machine.images == {"img-1": 1}
 
 
-async def test_machines_that_are_heard_last_after_a_cut_are_not_taken_for_lost(state: KeyStore) -> None:
-    """A leader that could not judge a zone alone released what was not heard yet in the second after the cut."""
+def watched(state: KeyStore, count: int, silent_for: int) -> tuple[Watcher, Lead, Home, list[str]]:
+    """A leader with so many machines, of which zone b's half is silent; and what it releases."""
     lead, _, home = leader(state)
-    home.peers = {"n1": FakePeer(None), "n2": FakePeer(None)}
     released: list[str] = []
 
     async def release(machines: list[Machine], why: str) -> None:
         released.extend(m.name for m in machines)
 
-    watcher = Watcher(lead, None, release, lead.keeper.fleet)  # type: ignore[arg-type]
     lead.mandate.asked_at = now = steady()
     lead.began = now - 60 * SECOND
-    machines = []
-    for number in range(1, 13):
-        machine = lead.cluster.add_machine(f"vm-{number:06d}", "m8", "a" if number < 7 else "b", False, "", now, 0)
+    for number in range(1, count + 1):
+        lit = number <= count // 2
+        machine = lead.cluster.add_machine(f"vm-{number:06d}", "m8", "a" if lit else "b", False, "", now, 0)
         assert machine is not None
         machine.up_at = machine.probed_at = 1
-        machine.heard_at = machine.known_since = now if number < 7 else now - 20 * SECOND
-        machines.append(machine)
+        machine.heard_at = machine.known_since = now if lit else now - silent_for
+    return Watcher(lead, None, release, lead.keeper.fleet), lead, home, released  # type: ignore[arg-type]
+
+
+async def test_machines_that_are_heard_last_after_a_cut_are_not_taken_for_lost(state: KeyStore) -> None:
+    """A leader that could not judge a zone alone released what was not heard yet in the second after the cut."""
+    watcher, lead, home, released = watched(state, 12, 20 * SECOND)
+    home.peers = {"n1": FakePeer(None), "n2": FakePeer(None)}
     await watcher.step()  # half of them: it is rather this node that is cut off
+    machines = list(lead.cluster.machines.values())
     for machine in machines[6:9]:
         machine.heard_at = steady()
     await watcher.step()
@@ -313,21 +319,8 @@
 
 
 async def test_a_dark_zone_is_kept_and_judged_again_before_anything_is_released(state: KeyStore) -> None:
-    lead, _, home = leader(state)
+    watcher, lead, home, released = watched(state, 6, 6 * SECOND)
     home.peers = {"n1": FakePeer(["seen", 0, True]), "n2": FakePeer(None)}
-    released: list[str] = []
-
-    async def release(machines: list[Machine], why: str) -> None:
-        released.extend(m.name for m in machines)
-
-    watcher = Watcher(lead, None, release, lead.keeper.fleet)  # type: ignore[arg-type]
-    lead.mandate.asked_at = now = steady()
-    lead.began = now - 60 * SECOND
-    for number in range(1, 7):
-        machine = lead.cluster.add_machine(f"vm-{number:06d}", "m8", "a" if number < 4 else "b", False, "", now, 0)
-        assert machine is not None
-        machine.up_at = machine.probed_at = 1
-        machine.heard_at = machine.known_since = now if number < 4 else now - 6 * SECOND
     await watcher.step()
     assert "b" in lead.cluster.dark
     assert released == []
