--- a/oatport/service/network.py
+++ b/oatport/service/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Protocol
 
 import aiohttp
@@ -13,6 +14,8 @@
 from oatport.control.sockets import MOST_IDLE, Sockets
 from oatport.times import MS, SECOND, seconds, steady
 
+log = logging.getLogger(__name__)
+
 CHANGED_BY = 1.5  # connections are kept for another time only if that differs by so much
 COUNTED_FOR = 250 * MS
 REPLACED_AFTER = 5 * SECOND  # requests on the session before have been answered by then, or given up
@@ -81,7 +84,10 @@
         try:
             await asyncio.sleep(seconds(REPLACED_AFTER))
         finally:
-            await session.close()
+            try:
+                await session.close()
+            except Exception:
+                log.exception("connections to workers were not closed")
 
     def held(self) -> int:
         # Counting takes as long as there are connections, and every user's request asks.
