--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -168,7 +168,7 @@
     """
 
     settings: ClusterSettings
-    known_at: int  # all cancellations told up to then are known here (steady)
+    known_at: int  # all cancellations told up to then are known here (steady): when that was *asked for*
 
     @property
     def until(self) -> int:
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -88,13 +88,14 @@
 
     async def take_over(self) -> None:
         """Load what is recorded; reports confirm it."""
+        asked = steady()  # cancellations told while the records are read may not be among them
         rows, revision = await read_records(self.state)
         await self._know_types(types_recorded(rows))
         load(self.cluster, rows, steady(), time_of_day())
         if self.windows is not None:
             await self.windows.take_over()
         self._watch_from = revision
-        self.clock.known(steady())
+        self.clock.known(asked)
         self.loaded = True
         for kind, ref, value, rev in self._early:
             self._told(kind, ref, value, rev)
