A leader that can't read cancellations is told them by all nodes; one gate for such answers

Cause: in an outage after the leader alone was refused, the moment up to which cancellations are known could only move on if no node had told one since. One confirmation, or one lost hint, ended the leases of all workers; and an answer 'aborted' from what a node had learnt earlier counted as none told, so that the moment moved past it.

Change: control/cancellations.py lists in each node what its users were told, through one gate (Users._gate) and before the answer leaves; service/telling.py collects from all configured nodes what was told since the leader's moment, puts it into effect, and moves the moment on only if every node told all. A job that isn't known here is remembered and never started; a start of a cancelled job isn't repeated past the bound, and a machine that one may still reach isn't answered.

--- a/oatport/api/users.py
+++ b/oatport/api/users.py
@@ -36,7 +36,7 @@
 
     def ready(self) -> bool: ...
     def tell_accepted(self, ref: str, record: dict[str, Any], revision: int) -> None: ...
-    def tell_cancelled(self, ref: str, revision: int) -> None: ...
+    def tell_cancelled(self, ref: str, revision: int = 0) -> None: ...
 
 
 class Users:
@@ -74,13 +74,24 @@
         self._busy += 1
         try:
             if job is not None:
-                return await self.submit(job)
+                return self._gate(await self.submit(job))
             if len(parts) == 2:
-                return await self.show(parts[1])
-            return await self.cancel(parts[1])
+                return self._gate(await self.show(parts[1]))
+            return self._gate(await self.cancel(parts[1]))
         finally:
             self._busy -= 1
 
+    def _gate(self, answer: Answer) -> Answer:
+        """All that users are told of a job goes through here. That it is cancelled is noted before it leaves, whichever
+        way this node knows: committed, read back, learnt by a poll, kept from before, or following from a needed job.
+
+        A leader that can't read the records counts on it: what another node had learnt, and told in the middle of an
+        outage, was in no list, and the tasks ran on.
+        """
+        if isinstance(answer.value, dict) and answer.value.get("status") == wire.CANCELLED:
+            self._backstage.tell_cancelled(str(answer.value["ref"]))
+        return answer
+
     # --- submit -----------------------------------------------------------------------------
 
     async def submit(self, job: wire.Submission) -> Answer:
--- a/oatport/control/chains.py
+++ b/oatport/control/chains.py
@@ -20,6 +20,7 @@
 
 STEP = 2 * SECOND  # between a stage's last task and the next one's first: report, record, claim, command
 NAMED_MOST = 10  # jobs that are named in one line
+REMEMBERED_MOST = 10_000
 
 
 class Chains(Records):
@@ -30,6 +31,7 @@
         self.pipelines = Pipelines()
         self.held_up: dict[str, Job] = {}  # jobs that wait for others
         self.on_released: Callable[[Job], None] = lambda job: None
+        self.told_cancelled: dict[str, int] = {}  # jobs not known here -> told after this (steady)
         self.carried: dict[str, Urgency] = {}  # what is asked of waiting jobs by those that need them
 
     # --- what `Work` has ----------------------------------------------------------------------
@@ -61,7 +63,7 @@
             return Known.CANCELLED if job.cancelled and not job.lost_cause else Known.OPEN
         if ref in self.held_up:
             return Known.OPEN
-        return Known.UNKNOWN
+        return Known.CANCELLED if ref in self.told_cancelled else Known.UNKNOWN
 
     def add_waiting(self, job: Job) -> None:
         """An accepted job that names others, no task of which was ever claimed."""
@@ -71,7 +73,10 @@
         self.pipelines.seen(job.ref)
         self.counted(job)
         state = self.pipelines.add(job.ref, job.needs, self.known_of)
-        if state is Known.OPEN:
+        if job.ref in self.told_cancelled:
+            self.held_up[job.ref] = job
+            self.cancel_waiting(job.ref, 0)
+        elif state is Known.OPEN:
             self.held_up[job.ref] = job
             log.info("job %s waits for %s", job.ref, named(self.pipelines.waits(job.ref)))
         elif state is Known.CANCELLED:
@@ -110,16 +115,32 @@
         self.to_call_off[job.ref] = job
 
     def cancel_waiting(self, ref: str, mark_version: int) -> None:
-        """Its own user cancelled it: that is recorded already, and what is left of it goes."""
+        """Its own user cancelled it: that is recorded already, and what is left of it goes.
+
+        Without the version of its mark (0) that is only told, and may as well follow from a needed job: it is recorded
+        like a job whose needed one was cancelled, on the condition that it isn't recorded yet.
+        """
         job = self.held_up.pop(ref, None) or self.to_call_off.pop(ref, None)
         if job is None:
             return
+        if not mark_version:
+            self.pipelines.leave(ref)
+            self._call_off_waiting(job)
+            return
         job.cancelled = True
         self.carried.pop(ref, None)
-        if mark_version:
-            self.versions[cancel_key(ref)] = mark_version
+        self.versions[cancel_key(ref)] = mark_version
         self.to_clean[job] = None
 
+    def remember_cancelled(self, ref: str, told_after: int) -> None:
+        """Its user was told so, and nothing is known of it here: accepted while the records could not be read, or over.
+
+        Should it be heard of, nothing of it starts. Bounded: what is forgotten fails by the condition of its claim.
+        """
+        self.told_cancelled[ref] = told_after
+        if len(self.told_cancelled) > REMEMBERED_MOST:
+            del self.told_cancelled[next(iter(self.told_cancelled))]
+
     # --- urgency ------------------------------------------------------------------------------
 
     def _urgency(self, ref: str) -> tuple[Urgency, int]:
--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -295,7 +295,10 @@
             self.to_send.add(machine)  # placed by this leader, its first start is just due
             return
         if task.sent_session and report.session <= task.sent_session:
-            if task.acked is None or machine.unanswered.get(key):
+            if task.job.cancelled and task.acked is None and not (
+                    machine.unanswered.get(key) or key in machine.in_answer):
+                pass  # no start of it is under way, and none goes out any more: it isn't there and won't be
+            elif task.acked is None or machine.unanswered.get(key):
                 self.to_send.add(machine)  # our start is on its way or was lost: repeat it
                 if task.claimed_at and now - task.claimed_at > UNHEARD:
                     machine.deaf = True
@@ -387,10 +390,9 @@
                     orders.append(wire.stop(task.name, task.attempt, task.stopping))
                 continue
             if task.acked is None and not (direct and task.repeat_start_at > now):
-                if not self._may_start(task):
-                    continue
-                orders.append(wire.start(task.name, task.attempt))
-                starts.append(task)
+                if self._may_start(task, now):
+                    orders.append(wire.start(task.name, task.attempt))
+                    starts.append(task)
             if task.stopping is not None:
                 orders.append(wire.stop(task.name, task.attempt, task.stopping))
         for name, attempt in machine.strays:
@@ -401,12 +403,29 @@
                     orders.append(wire.forget(name, attempt))
         return orders, starts
 
-    @staticmethod
-    def _may_start(task: Task) -> bool:
-        """A gang starts whole: all its claims must be committed."""
-        if task.job.kind is not Kind.GANG:
+    def _may_start(self, task: Task, now: int) -> bool:
+        """A gang starts whole: all its claims must be committed.
+
+        Of a cancelled job a start that may be under way is repeated, and stopped at once: so the attempt is known
+        there, and what comes late does nothing. But not when its user was told long ago, as after an outage.
+        """
+        job = task.job
+        if job.cancelled and not job.lost_cause and now >= self.lease_bound(job):
+            return False
+        if job.kind is not Kind.GANG:
             return True
-        return all(mate.phase is not Phase.CLAIMED for mate in task.job.tasks.values())
+        return all(mate.phase is not Phase.CLAIMED for mate in job.tasks.values())
+
+    def must_lapse(self, machine: Machine, now: int) -> bool:
+        """May a start of a cancelled job still land there, so late that only another session is proof against it?
+
+        A start that a link holds for long is neither there to be stopped nor proven lost: the machine's lease has to
+        end before `cancel_s` is over.
+        """
+        return bool(machine.unanswered) and any(
+            task.job.cancelled and not task.job.lost_cause and task.acked is None
+            and task.sent_session == machine.session and machine.unanswered.get((task.name, task.attempt))
+            and now >= self.lease_bound(task.job) for task in machine.tasks)
 
     def _may_forget(self, machine: Machine, name: str, attempt: int) -> bool:
         """Not while a start of it may land (it would start again), nor before its end is committed."""
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from oatport import wire
+from oatport.control.cancellations import answers_until
 from oatport.control.cluster import DARK_LEAST, Cluster
 from oatport.control.formats import FORMATS_KEY, READS, reads_of
 from oatport.control.layout import FLEET_CHUNK, group_of
@@ -28,11 +29,9 @@
     waits_key,
 )
 from oatport.settings import ClusterSettings
-from oatport.times import SECOND, micros, with_drift
 
 log = logging.getLogger(__name__)
 
-MARGIN = 2 * SECOND  # of `OutageClock`
 OLD_HEAD = "0000"
 
 
@@ -205,16 +204,7 @@
 
 @dataclass(slots=True)
 class OutageClock:
-    """How long a leader cut off from the state service may keep its workers' leases alive.
-
-    A cancellation may be told by another node at any moment; its tasks must be gone `cancel_s`
-    later, and a worker that hears nothing more kills them after `lease_s`, counted from when it *sent* the report:
-    before the answer was given, however late that goes out. So with K up to which cancellations are known, an
-    answer at t < K + cancel_s - lease_s - MARGIN renews a lease that ends before K + cancel_s - MARGIN, and a
-    cancellation that is not known was told after K. A start that a cut held finds the session only for as long. The
-    answer itself stops the tasks of those that are known. What is left for the margin are clocks (0.05% of both
-    spans, 20 ms) and timers.
-    """
+    """How long a leader cut off from the state service may keep its workers' leases alive (`answers_until`)."""
 
     settings: ClusterSettings
     known_at: int  # all cancellations told up to then are known here (steady): when that was *asked for*
@@ -222,8 +212,7 @@
     @property
     def until(self) -> int:
         """Reports are answered up to here."""
-        workers = self.settings.workers
-        return self.known_at + with_drift(micros(workers.cancel_s - workers.lease_s)) - MARGIN
+        return answers_until(self.settings.workers, self.known_at)
 
     def known(self, asked_at: int) -> None:
         self.known_at = max(self.known_at, asked_at)
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -11,6 +11,7 @@
 from oatport import wire
 from oatport.control import faults
 from oatport.control.agenda import Agenda
+from oatport.control.cancellations import answers_until
 from oatport.control.chains import Chains
 from oatport.control.layout import Layout
 from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
@@ -112,6 +113,8 @@
             self.versions[live_key(ref)] = version
             self.join(job)
             self.counted(job)
+            if ref in self.told_cancelled:
+                self.cancel_job(ref, 0, self.told_cancelled[ref])
         return job
 
     def join(self, job: Job) -> None:
@@ -167,7 +170,8 @@
     def cancel_job(self, ref: str, mark_version: int, told_after: int = 0) -> None:
         """Its user was told that it is cancelled: nothing starts any more, all its tasks must go.
 
-        So are all that need it. `told_after` (steady): not before that, as far as is known.
+        So are all that need it. `mark_version`: of its mark under `live/`; 0: told, but not read in the records yet.
+        `told_after` (steady): not before that, as far as is known.
         """
         self.cancel_after(ref)
         job = self.jobs.get(ref)
@@ -177,10 +181,10 @@
         if mark_version:
             self.versions[cancel_key(ref)] = mark_version
         if job.lost_cause:  # its user was faster than the record of that
-            job.lost_cause, job.finishing = "", False
+            job.lost_cause, job.finishing, job.cancel_after = "", False, told_after
             self.to_finish.pop(job, None)
-            self._clean_if_gone(job)
         if job.cancelled:
+            self._clean_if_gone(job)
             return
         job.cancelled = True
         job.cancel_after = told_after
@@ -188,6 +192,12 @@
         self.to_finish.pop(job, None)
         self._call_off(job)
 
+    def cancel_told(self, ref: str, mark_version: int, told_after: int) -> None:
+        """A node told its user that it is cancelled, which may not be known here."""
+        if ref not in self.jobs and ref not in self.held_up and ref not in self.to_call_off:
+            self.remember_cancelled(ref, told_after)
+        self.cancel_job(ref, mark_version, told_after)
+
     def _call_off(self, job: Job) -> None:
         """No task of it starts any more, and those on machines leave."""
         for task in list(job.tasks.values()):
@@ -234,9 +244,13 @@
         if job.lost_cause:
             job.finishing = True
             self.to_finish[job] = None
-        else:
+        elif self.versions.get(cancel_key(job.ref)):  # else its keys wait for the record: the mark goes with them
             self.to_clean[job] = None
 
+    def lease_bound(self, job: Job) -> int:
+        """A cancelled job: until when (steady) a worker's lease may be renewed that might let a task of it run on."""
+        return answers_until(self.settings.workers, job.cancel_after)
+
     def drop_job(self, job: Job) -> None:
         self.jobs.pop(job.ref, None)
         if job.counted:
--- a/oatport/service/groupcommit.py
+++ b/oatport/service/groupcommit.py
@@ -131,7 +131,7 @@
             if job is not None and job.cancelled:
                 job.finishing = False
                 self.cluster.to_finish.pop(job, None)
-                self.cluster.cancel_job(job.ref, 0)
+                self.cluster.cancel_job(job.ref, 0, self._helm.clock.known_at)
 
     async def _was_applied(self, batch: Batch) -> bool:
         """After an unsure try: did it get through? Its keys then share the revision of the commit."""
@@ -163,7 +163,7 @@
             job = self.cluster.jobs.get(ref)
             state = None if found is None else found[0].get("state")
             if found is not None and state == wire.CANCELLED:
-                self.cluster.cancel_job(ref, found[1])
+                self.cluster.cancel_job(ref, found[1], self._helm.clock.known_at)
                 return found[1]
             if found is not None and state in wire.OVER and job is not None:
                 self.cluster.drop_job(job)
--- a/oatport/service/helm.py
+++ b/oatport/service/helm.py
@@ -9,6 +9,7 @@
 from oatport.clients.state import StateClient
 from oatport.control.cluster import Cluster
 from oatport.control.model import Machine
+from oatport.control.recovery import OutageClock
 from oatport.service.tasks import TaskGroup
 from oatport.settings import Settings, Tuning
 
@@ -41,6 +42,7 @@
     cluster: Cluster
     group: TaskGroup
     began: int  # when it took the lead (steady)
+    clock: OutageClock
     over: bool
 
     def depose(self, why: str) -> None: ...
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -188,7 +188,7 @@
 
     def _told(self, kind: str, ref: str, value: Any, revision: int) -> None:
         if kind == "cancelled":
-            self.cluster.cancel_job(ref, revision, self.clock.known_at)
+            self.cluster.cancel_told(ref, revision, self.clock.known_at)
         elif not self._has(ref) and revision > self._watch_from and "more" not in value:
             # An older one was seen by the load or by the watch, and may be over already.
             self._join(ref, value, revision)
@@ -274,6 +274,9 @@
         self.cluster.report_came(machine, report)
         if machine.deaf:
             self.keeper.watcher.ask([machine], now)
+        if self.cluster.must_lapse(machine, now):
+            log.warning("machine %s is not answered: a start of a cancelled job may be on its way there", machine.name)
+            return None
         orders, starts = self.cluster.commands(machine, now, direct=False)
         # A late copy of a report, or one that a command's answer overtook: where the answer goes isn't known, so that
         # no start in it counts as sent.
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -27,6 +27,7 @@
 from oatport.service.lead import Lead
 from oatport.service.network import HttpNetwork, Network
 from oatport.service.tasks import TaskGroup
+from oatport.service.telling import Telling
 from oatport.settings import Settings, Tuning
 from oatport.times import MS, SECOND, micros, seconds, steady
 
@@ -59,6 +60,7 @@
         self.display: dict[str, tuple[int, int]] = {}
         self.peers: dict[str, PeerClient] = {}
         self.keeping = Keeping(self, settings.cluster)
+        self.telling = Telling(self, settings.cluster)
         self._standing = Standing(settings)
         self.group = TaskGroup()
         self.lead: Lead | None = None
@@ -70,7 +72,6 @@
         self._take_from = 0  # token of a leader that handed over to this node
         self._take_until = 0
         self._election = asyncio.Event()
-        self._cancel_told_at = 0
         self._peer_served: dict[str, tuple[bool, int]] = {}  # peer -> (served, as of)
         self._heard_at: dict[str, int] = {}  # peer -> when it last answered
         self._ever_served = False
@@ -88,10 +89,10 @@
             self.peers[peer.node_name] = PeerClient(net, peer.node_name, peer.endpoint)
         inside = Peers()
         for tag, handler in (
-            ("ping", self._on_ping), ("accepted", self._on_told), ("cancelled", self._on_told),
+            ("ping", self._on_ping), ("accepted", self.telling.on_hint), ("cancelled", self.telling.on_hint),
             ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
             ("carried out", self.keeping.on_carried_out), ("kept", self.keeping.on_kept), ("explain", self._on_explain),
-            ("formats", self._on_formats),
+            ("formats", self._on_formats), ("told", self.telling.on_told),
         ):
             inside.on(tag, handler)
         servers = [
@@ -105,6 +106,7 @@
         self.group.keep("leader watch", self._leader_watch)
         self.group.keep("catalog", self._catalog_loop)
         self.group.keep("contact", self._contact_loop)
+        self.group.keep("told", self.telling.loop)
         for name, client in self.peers.items():
             self.group.keep(f"ping {name}", lambda client=client: self._ping_loop(client))  # type: ignore[misc]
         try:
@@ -158,20 +160,10 @@
         return not any(served and now - at < 3 * SECOND for served, at in self._peer_served.values())
 
     def tell_accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
-        self._tell_leader("accepted", ref, record, revision)
+        self.telling.accepted(ref, record, revision)
 
-    def tell_cancelled(self, ref: str, revision: int) -> None:
-        self._cancel_told_at = steady()
-        self._tell_leader("cancelled", ref, None, revision)
-
-    def _tell_leader(self, tag: str, ref: str, value: Any, revision: int) -> None:
-        """Only a hint that saves time: the leader also watches the records."""
-        if self.lead is not None:
-            self.lead.told(tag, ref, value, revision)
-            return
-        peer = self.peers.get(self._leader or "")
-        if peer is not None:
-            self.group.once("tell", _ask_quietly(peer, tag, ref, value, revision))
+    def tell_cancelled(self, ref: str, revision: int = 0) -> None:
+        self.telling.cancelled(ref, revision)
 
     # --- peers ------------------------------------------------------------------------------
 
@@ -182,22 +174,18 @@
         return self._pong()
 
     def _pong(self) -> Message:
-        now = steady()
-        quiet = min(now - self._cancel_told_at if self._cancel_told_at else now, now - self.started)
+        quiet = self.telling.cancellations.quiet(steady())
         return ["pong", self.node_name, self._leader, self._leader_token, self.served(), quiet]
 
+    def leading_peer(self) -> PeerClient | None:
+        return self.peers.get(self._leader or "")
+
     def _learn_leader(self, name: str | None, token: int) -> None:
         if token > self._leader_token:
             self._leader, self._leader_token = name, token
             if self.lead is not None and token > self.lead.token:
                 self.lost_lead(f"{name} leads with token {token}")
 
-    async def _on_told(self, message: Message) -> Message:
-        tag, ref, value, revision = message
-        if self.lead is not None:
-            self.lead.told(str(tag), str(ref), value, int(revision))
-        return ["ok"]
-
     async def _on_display(self, message: Message) -> Message:
         for ref, (done, running) in message[1].items():
             self.display[str(ref)] = (int(done), int(running))
@@ -229,7 +217,7 @@
         ref = str(message[1])
         if self.lead is not None:
             return ["explained", self.lead.explain(ref)]
-        peer = self.peers.get(self._leader or "")
+        peer = self.leading_peer()
         if peer is None or len(message) > 2:  # it is sent on once
             return ["no", "no leader is known: ask again in a few seconds"]
         return await peer.ask("explain", ref, True)
@@ -295,31 +283,10 @@
                     self.lost_lead("the lease ended")
             except (NoAnswer, Refused) as error:
                 log.debug("state service: %s", error)
-                if lead is not None and lead is self.lead and lead.state_down(steady()):
-                    await self._ask_outage(lead)
                 await asyncio.sleep(jitter(250 * MS))
                 continue
             await asyncio.sleep(seconds(self._lease_us // 4 if lead is not None else 500 * MS))
 
-    async def _ask_outage(self, lead: Lead) -> None:
-        """In an outage for all, no cancellation can be told: the moment of knowledge moves on."""
-        asked = steady()
-        since = asked - lead.clock.known_at
-        answers = await asyncio.gather(
-            *(peer.ask("ping", self.node_name, self._leader, self._leader_token, False)
-              for peer in self.peers.values()),
-            return_exceptions=True,
-        )
-        for answer in answers:
-            if isinstance(answer, BaseException) or len(answer) != 6 or answer[0] != "pong":
-                return
-            # A node that was started since may have told one and forgotten it: its age counts too.
-            if answer[4] or not isinstance(answer[5], int) or answer[5] < since + since // 500 + SECOND:
-                return
-        if self._cancel_told_at > lead.clock.known_at:
-            return
-        lead.clock.known(asked)
-
     # --- leadership -------------------------------------------------------------------------
 
     def lost_lead(self, why: str) -> None:
@@ -483,12 +450,3 @@
             except (NoAnswer, Refused):
                 pass
             await asyncio.sleep(jitter(20 * SECOND if self.types else micros(0.5)))
-
-
-async def _ask_quietly(peer: PeerClient, *message: Any) -> None:
-    for _ in range(2):
-        try:
-            await peer.ask(*message)
-            return
-        except NoAnswer:
-            await asyncio.sleep(jitter(100 * MS))
--- /dev/null
+++ b/oatport/service/telling.py
@@ -0,0 +1,113 @@
+"""What a node tells others of its users' jobs, and how a leader learns what it can't read in the state service.
+
+That a job was accepted or cancelled is told to the leader at once: only a hint that saves time, since the leader
+watches the records. While it can't, it asks each node what its users were told is cancelled
+(`control/cancellations.py`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Protocol
+
+from oatport.api.peers import Message
+from oatport.clients.http import NoAnswer, jitter
+from oatport.clients.peer import PeerClient
+from oatport.control.cancellations import Cancellations, Told
+from oatport.service.lead import Lead
+from oatport.service.tasks import TaskGroup
+from oatport.settings import ClusterSettings
+from oatport.times import MS, micros, steady
+
+ASK_EVERY = 400 * MS
+STALE = 2_500 * MS  # the watch on jobs tells every second, if it tells
+
+
+class Here(Protocol):
+    """The node that it belongs to."""
+
+    lead: Lead | None
+    peers: dict[str, PeerClient]
+    group: TaskGroup
+
+    def leading_peer(self) -> PeerClient | None: ...
+
+
+class Telling:
+    def __init__(self, here: Here, settings: ClusterSettings) -> None:
+        self._here = here
+        self.cancellations = Cancellations(steady(), 2 * micros(settings.workers.cancel_s))
+
+    def accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
+        self._hint("accepted", ref, record, revision)
+
+    def cancelled(self, ref: str, revision: int = 0) -> None:
+        """The gate of every answer that a job is cancelled: called before it leaves.
+
+        `revision`: of this node's own commit, which marked the job's live record as well; 0: it knows in another way.
+        """
+        if self.cancellations.tell(ref, steady()) and (revision or self._here.lead is not None):
+            self._hint("cancelled", ref, None, revision)
+
+    def _hint(self, tag: str, ref: str, value: Any, revision: int) -> None:
+        lead, peer = self._here.lead, self._here.leading_peer()
+        if lead is not None:
+            lead.told(tag, ref, value, revision)
+        elif peer is not None:
+            self._here.group.once("tell", _ask_quietly(peer, tag, ref, value, revision))
+
+    async def on_hint(self, message: Message) -> Message:
+        tag, ref, value, revision = message
+        if self._here.lead is not None:
+            self._here.lead.told(str(tag), str(ref), value, int(revision))
+        return ["ok"]
+
+    # --- what a leader that can't read is told ---------------------------------------------------
+
+    async def on_told(self, message: Message) -> Message:
+        """["told", us]: whose users were told that they are cancelled, within so long before the question was sent?"""
+        age = message[1]
+        if not isinstance(age, int) or isinstance(age, bool) or age < 0:
+            raise ValueError("not a time")
+        told = self.cancellations.since(steady(), age)
+        return ["told", told.whole_us, told.refs]
+
+    async def loop(self) -> None:
+        """As the leader: while the records can't be read, go by what all nodes told."""
+        while True:
+            lead = self._here.lead
+            if lead is not None and lead.loaded and steady() - lead.clock.known_at > STALE:
+                await self.collect(lead)
+            await asyncio.sleep(jitter(ASK_EVERY))
+
+    async def collect(self, lead: Lead) -> None:
+        """Put into effect what users were told, and move the moment of knowledge on if all nodes told all."""
+        asked, since = steady(), lead.clock.known_at
+        answers = await asyncio.gather(
+            *(peer.ask("told", asked - since) for peer in self._here.peers.values()), return_exceptions=True)
+        answered = steady()
+        if lead is not self._here.lead:
+            return
+        complete = True
+        for answer in (await self.on_told(["told", answered - since]), *answers):
+            try:
+                if isinstance(answer, BaseException):
+                    raise answer
+                told = Told.of(answer)
+            except (NoAnswer, ValueError):
+                complete = False  # it can't be asked, is of an earlier version, or says something strange
+                continue
+            for ref in told.refs:
+                lead.told("cancelled", ref, None, 0)
+            complete = complete and told.covers(since, asked, answered)
+        if complete:
+            lead.clock.known(asked)
+
+
+async def _ask_quietly(peer: PeerClient, *message: Any) -> None:
+    for _ in range(2):
+        try:
+            await peer.ask(*message)
+            return
+        except NoAnswer:
+            await asyncio.sleep(jitter(100 * MS))
