--- a/oatport/__init__.py
+++ b/oatport/__init__.py
@@ -1,3 +1,3 @@
 """oatport: a cluster scheduler for rented machines."""
 
-__version__ = "0.7.0"
+__version__ = "0.8.0"
--- a/oatport/lab/world/breaks.py
+++ b/oatport/lab/world/breaks.py
@@ -12,6 +12,7 @@
 from oatport.api.jobview import JobView
 from oatport.clients.state import StateClient
 from oatport.clients.worker import WorkerClient
+from oatport.control.cancellations import Cancellations
 from oatport.control.chains import Chains
 from oatport.control.cluster import Cluster
 from oatport.control.formats import Gate
@@ -175,10 +176,35 @@
     return [patch.object(Cluster, "on_report", newest)]
 
 
+def _conditions() -> list[Any]:
+    """Transactions go out without the versions that they count on; a leader's still with its token."""
+    commit = StateClient.commit
+
+    async def unversioned(self: StateClient, conditions: dict[str, int], *args: Any, **more: Any) -> Any:
+        token = {key: version for key, version in conditions.items() if key == LEADER_KEY}
+        return await commit(self, token or {"none": 0}, *args, **more)
+
+    return [patch.object(StateClient, "commit", unversioned)]
+
+
+def _ends() -> list[Any]:
+    """An ended attempt is forgotten before its end is recorded."""
+
+    def at_once(self: Cluster, machine: Any, name: str, attempt: int) -> bool:
+        return not machine.unanswered.get((name, attempt)) and (name, attempt) not in machine.in_answer
+
+    return [patch.object(Cluster, "_may_forget", at_once)]
+
+
+def _told() -> list[Any]:
+    """What users are told is noted by nobody."""
+    return [patch.object(Cancellations, "tell", lambda self, ref, now: True)]
+
+
 GUARDS: dict[str, Callable[[], list[Any]]] = {
     "fencing": _fencing, "write-ahead": _write_ahead, "forget": _forget, "unproven": _unproven,
     "boot": _boot, "early": _early, "orphan": _orphan, "gate": _gate, "size": _size,
-    "copies": _copies,
+    "copies": _copies, "told": _told, "order": _copies, "conditions": _conditions, "ends": _ends,
 }
 
 
--- /dev/null
+++ b/oatport/lab/world/meetings.py
@@ -0,0 +1,225 @@
+"""Plans in which two troubles meet, their times drawn around the edges: leases, `cancel_s`, takeovers, handovers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from oatport.lab.world.drawing import PIPELINES, Draw
+from oatport.lab.world.plan import LEADER, Plan
+
+CANCEL_S, LEASE_S = 36.0, 12.0  # of `deployment.cluster_settings`
+
+
+def _told_by_others(plan: Draw, at: float, span: float) -> None:
+    """What makes it hard for a leader to know what others told between `at` and `at + span`."""
+    rng = plan.rng
+
+    def hints_lost() -> None:
+        plan.add("node_cut", at, span + rng.uniform(0.2, 1.0), what="nodes", mode="lost",
+                 way=rng.choice(["from", "both"]))
+
+    def answers_lost() -> None:
+        """Cancelled, and nobody knows: asked again at another node, polled, told from what a node learnt by then."""
+        plan.add("links_cut", at, span * rng.uniform(0.5, 1.2), source="state", target=rng.choice(plan.names),
+                 mode="lost")
+
+    def users_unsure() -> None:
+        plan.add("links_lossy", at, span + 4, source="node", target="users", amount=rng.uniform(0.3, 0.9))
+        plan.add("links_cut", at + rng.uniform(0, span), rng.uniform(0.3, 3), source=rng.choice(plan.names),
+                 target="users", mode="lost")
+
+    def derived() -> None:
+        plan.add("cancel_needed", at + rng.uniform(0.1, span), count=3)
+
+    def teller_ends() -> None:
+        plan.add("node_crash", at + span * rng.uniform(0.3, 1.5), plan.end(), node=rng.choice(plan.names))
+
+    def refused_twice() -> None:
+        plan.add("node_refused", max(5.0, at - rng.uniform(4, 8)), rng.uniform(1, 3))
+
+    def slow_peers() -> None:
+        plan.add("links_slow", at, rng.uniform(3, 30), source="node", target="node", amount=rng.uniform(0.1, 0.6))
+
+    def one_way() -> None:
+        plan.add("node_cut", at + rng.uniform(0, span + 5), rng.uniform(3, 25), what="nodes",
+                 way=rng.choice(["to", "from"]), mode=rng.choice(["hold", "lost"]))
+
+    def late_starts() -> None:
+        """Starts of what is cancelled a moment later are under way, and some are for long."""
+        plan.add("rush", at - 2, 2.2, name="batch", amount=rng.uniform(8, 20))
+        plan.add("links_slow", at - 1, span + 1, source="node", target="worker", amount=rng.uniform(1, 5))
+
+    makers: list[Callable[[], None]] = [
+        hints_lost, hints_lost, answers_lost, users_unsure, derived, teller_ends, refused_twice, slow_peers, one_way,
+        late_starts,
+    ]
+    for make in rng.sample(makers, rng.randint(1, 3)):
+        make()
+
+
+def gap(
+    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 130.0
+) -> Plan:
+    """The state service refuses the leader alone, others confirm cancellations, then it is down for all."""
+    plan = Draw(seed, nodes, machines, zones, for_s)
+    rng = plan.rng
+    at = rng.uniform(16, 30)
+    while True:
+        span = rng.choice([rng.uniform(0.8, 2.6), rng.uniform(2.0, 6.0)])
+        plan.add("node_refused", at, span + rng.uniform(-0.3, 8))
+        down = rng.choice([rng.uniform(8, 60), CANCEL_S + rng.uniform(-2, 6), LEASE_S + rng.uniform(-2, 4)])
+        plan.add("state_down", at + span, down)
+        plan.add("users_cancel", at + 0.1, count=plan.few * 4, amount=span)
+        _told_by_others(plan, at, span)
+        at += span + down + rng.uniform(8, 20)
+        if at > for_s - 50:
+            break
+    if rng.random() < 0.3:
+        plan.add("node_crash", rng.uniform(20, 90), plan.end(), node=rng.choice([LEADER, *plan.names]))
+    faults = tuple(sorted(plan.faults, key=lambda f: f.at_s))
+    return Plan(faults, for_s, nodes, machines, machines * rng.choice([0.5, 1, 2]), PIPELINES)
+
+
+class Meeting(Draw):
+    """The meetings of docs/meetings.md, one for each method."""
+
+    def cancels(self, at: float, span: float, times: int = 4) -> None:
+        self.add("users_cancel", at, count=self.few * times, amount=max(span, 0.1))
+
+    def slow_state(self) -> None:
+        """The state service is slow or refuses the leader, then everybody, while users cancel and ask."""
+        at, span = self.moment(80), self.rng.uniform(1, 6)
+        self.add("state_slow", at - 3, span + 6, amount=self.rng.uniform(0.3, 0.95))
+        self.add("node_refused", at, span + self.rng.uniform(-0.5, 6), node=self.rng.choice([LEADER, *self.names]))
+        self.cancels(at - 1, span + 1)
+        short, long = self.rng.uniform(2, 20), CANCEL_S + self.rng.uniform(-3, 8)
+        self.add("state_down", at + span, self.rng.choice([short, long]))
+        self.cancels(at + span + 1, 5.0, 1)
+
+    def ends_far_apart(self) -> None:
+        """Jobs of few tasks, which end far apart, across changes of the leader; what they ended with is lost."""
+        for at in self._rounds():
+            self.add("rush", at - 6, 6.0, name="local", amount=self.rng.uniform(6, 15))
+            change = self.rng.randrange(4)
+            if change == 0:
+                self.add("node_crash", at, self.end())
+            elif change == 1:
+                self.add("node_refused", at - 2, self.rng.uniform(2, 6))
+            elif change == 2:
+                self.add("node_freeze", at, self.rng.uniform(2.5, 6))
+            else:
+                self.add("node_cut", at, self.rng.uniform(1, 5), what="state", mode="lost", way="to")
+                self.add("node_crash", at + self.rng.uniform(0.3, 3), self.end())
+            self.add("late_writes", at - 1, 3.0, amount=self.rng.choice([0.0, 0.4]))
+
+    def back_and_forth(self) -> None:
+        """Handed over and back; all end, one is back first."""
+        at = self.moment(70)
+        for _ in range(self.rng.randint(2, 4)):
+            self.add("node_refused", at, self.rng.uniform(2.2, 5))
+            at += self.rng.uniform(2.5, 8)
+        self.add("links_lossy", at - 6, 6, source="node", target="node", amount=self.rng.uniform(0, 0.6))
+        for name in self.names:
+            self.add("node_crash", at, self.rng.choice([self.rng.uniform(0.05, 1), self.rng.uniform(1, 9)]), node=name)
+        if self.rng.random() < 0.5:
+            self.add("late_writes", at - 4, 8, amount=self.rng.uniform(0.2, 0.7))
+        self.add("node_crash", at + self.rng.uniform(0.5, 5), self.end())
+
+    def old_reports(self) -> None:
+        """Copies of reports from before: of an earlier session, an earlier attempt, under an earlier leader."""
+        at = self.moment(60)
+        self.add("report_copies", at - 5, 45, amount=self.rng.choice([4.0, LEASE_S + 2, 2 * LEASE_S, 50.0]))
+        for trouble in self.rng.sample(("blink", "deaf", "hang", "taken", "lead", "cut"), 3):
+            when = at + self.rng.uniform(0, 20)
+            if trouble == "blink":
+                self.add("machine_blink", when, count=self.few * 2, amount=self.rng.choice([0.0, 1.0]))
+            elif trouble == "deaf":
+                self.add("machine_deaf", when, LEASE_S + self.rng.uniform(-3, 6), count=self.few * 2)
+            elif trouble == "hang":
+                self.add("machine_hang", when, LEASE_S + self.rng.uniform(-6, 6), count=self.few * 2)
+            elif trouble == "taken":
+                self.add("machines_taken", when, count=self.few, amount=self.rng.choice([0.0, 4.0]))
+            elif trouble == "lead":
+                self.add("node_crash", when, self.end())
+            else:
+                self.add("machine_cut", when, LEASE_S + self.rng.uniform(-3, 4), count=self.few * 2)
+
+    def leader_alone(self) -> None:
+        """Cut from the state service and the others, not from workers and users; jobs are cancelled elsewhere."""
+        at = self.moment(70)
+        long = self.rng.choice([self.rng.uniform(4, 20), CANCEL_S - LEASE_S + self.rng.uniform(-4, 6), 50.0])
+        self.add("node_alone", at, long, mode=self.rng.choice(["hold", "lost"]))
+        self.cancels(at + self.rng.uniform(0, 5), self.rng.uniform(1, 8))
+        self.cancels(at + long * 0.8, long * 0.3, 2)
+        if self.rng.random() < 0.4:
+            self.add("state_down", at + self.rng.uniform(2, 10), self.rng.uniform(5, 45))
+
+    def held_commands(self) -> None:
+        """Commands or their answers are held up for seconds while tasks are cancelled, stopped and moved."""
+        for at in self._rounds():
+            name = self.rng.choice(["batch", "local", "train"])
+            self.add("rush", at - 1.5, 2.5, name=name, amount=self.rng.uniform(6, 20))
+            held = self.rng.randrange(3)
+            if held == 0:
+                self.add("links_slow", at, self.rng.uniform(1, 3), source="node", target="worker",
+                         amount=self.rng.uniform(2, 9))
+            elif held == 1:
+                self.add("links_cut", at, self.rng.uniform(2, LEASE_S - 1), source=self.rng.choice(["node", "worker"]),
+                         target=self.rng.choice(["worker", "node"]), mode="hold")
+            else:
+                self.add("machine_hang", at, self.rng.uniform(2, LEASE_S), count=self.few * 3)
+            self.cancels(at + self.rng.uniform(0, 2), 1.0)
+            self.add("machines_taken", at + self.rng.uniform(1, 4), count=self.few, amount=self.rng.choice([0.0, 5.0]))
+        if self.rng.random() < 0.5:
+            self.add("state_down", self.rng.uniform(20, 60), self.rng.uniform(3, 40))
+
+    def unreached_machines(self) -> None:
+        """The leader ends while machines with long tasks can't be reached, or don't hear the new one's answer."""
+        at = self.moment(70)
+        kind = self.rng.choice(["machine_deaf", "machine_cut", "machine_hang"])
+        self.add(kind, at - self.rng.uniform(0, 4), LEASE_S * self.rng.uniform(0.5, 2.5), count=self.few * 3)
+        if self.rng.random() < 0.4:
+            self.add("machine_deaf", at, LEASE_S * self.rng.uniform(0.5, 2), zone=self.rng.choice(self.zones))
+        self.add("node_crash", at, self.end())
+        if self.rng.random() < 0.5:
+            self.add("node_crash", at + self.rng.uniform(2, 8), self.end())
+        self.cancels(at + self.rng.uniform(-2, 6), 4.0)
+
+    def late_transactions(self) -> None:
+        """Transactions without an answer are carried out late, after newer ones of the same node."""
+        at = self.moment(60)
+        self.add("late_writes", at, self.rng.uniform(5, 25), amount=self.rng.uniform(0.1, 0.8))
+        self.cancels(at + 1, 6.0)
+        self.add("cancel_at_end", at, 20.0)
+        self.add("rush", at, 6.0, name="local", amount=5.0)
+        change = self.rng.randrange(4)
+        if change == 0:
+            self.add("node_crash", at + self.rng.uniform(2, 12), self.end(), node=self.node())
+        elif change == 1:
+            self.add("node_refused", at + self.rng.uniform(2, 12), self.rng.uniform(2.2, 8))
+        elif change == 2:
+            self.add("node_freeze", at + self.rng.uniform(2, 12), self.rng.uniform(2, 9))
+        else:
+            self.add("state_down", at + self.rng.uniform(2, 12), self.rng.uniform(2, 20))
+
+
+MEETINGS = (
+    Meeting.slow_state, Meeting.ends_far_apart, Meeting.back_and_forth, Meeting.old_reports, Meeting.leader_alone,
+    Meeting.held_commands, Meeting.unreached_machines, Meeting.late_transactions,
+)
+
+
+def meetings(
+    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 120.0
+) -> Plan:
+    """One meeting, in turn, and half of the time another one or a process that ends beside it."""
+    plan = Meeting(seed, nodes, machines, zones, for_s)
+    rng = plan.rng
+    MEETINGS[seed % len(MEETINGS)](plan)
+    beside = rng.random()
+    if beside < 0.25:
+        rng.choice(MEETINGS)(plan)
+    elif beside < 0.5:
+        plan.add("node_crash", plan.moment(), plan.end(), node=plan.node())
+    faults = tuple(sorted(plan.faults, key=lambda f: f.at_s))
+    return Plan(faults, for_s, nodes, machines, machines * rng.choice([0.5, 1]), PIPELINES)
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -28,15 +28,17 @@
     "cloud_down": (),
     "no_capacity": (),
     "rush": ("name", "amount"),  # jobs of a class so many times as often
-    "users_cancel": ("count",),  # so many users of unfinished jobs at about the same time
+    "users_cancel": ("count", "amount"),  # so many users of unfinished jobs, within so many seconds; 0: as they poll
     "cancel_at_end": (),  # users of jobs that others need cancel them when their last task has just ended
     "cancel_needed": ("count",),  # users of so many jobs that others need
     "upgrade": ("count", "amount"),  # nodes get the new version: so many at a time, every so many seconds
     "state_limits": (),  # the state service's next limits hold from now on
-    "machine_deaf": ("count", "zone"),  # their reports arrive, answers and commands don't reach them
+    # So many, that share, or a zone: their reports arrive, answers and commands don't reach them.
+    "machine_deaf": ("count", "amount", "zone"),
     "report_copies": ("amount",),  # copies of reports come again, up to so many seconds later
     "node_alone": ("node", "mode"),  # without state service and the other nodes, but with workers
     "machine_blink": ("count", "amount"),  # they are back at once, empty; amount 1: their sessions begin anew
+    "late_writes": ("amount",),  # that share of transactions gets no answer and is carried out 2 to 12 s later
     "late_repeats": ("amount",),  # requests that were carried out arrive once more, up to so many seconds later
 }
 WHAT = ("all", "state", "workers", "nodes")
--- a/oatport/lab/world/rehearse.py
+++ b/oatport/lab/world/rehearse.py
@@ -17,6 +17,7 @@
 from oatport.lab.world import plan as plans
 from oatport.lab.world.breaks import broken
 from oatport.lab.world.drawing import draw, evening, upgrade
+from oatport.lab.world.meetings import gap, meetings
 from oatport.lab.world.plan import Plan
 from oatport.lab.world.world import Result, World
 
@@ -24,7 +25,8 @@
 SHOWN, WIDTH = 40, 400  # of the newest messages of those concerned
 
 # name -> a plan of that family by seed, nodes and machines
-STORIES: dict[str, Callable[[int, int, int], Plan]] = {"any": draw, "upgrade": upgrade, "evening": evening}
+STORIES: dict[str, Callable[[int, int, int], Plan]] = {"any": draw, "upgrade": upgrade, "evening": evening, "gap": gap,
+                                                    "meetings": meetings}
 
 
 @dataclass(frozen=True)
--- a/oatport/lab/world/state.py
+++ b/oatport/lab/world/state.py
@@ -13,11 +13,12 @@
 from oatport import wire
 from oatport.lab.world.loop import Host
 from oatport.sizes import json_size
-from oatport.times import MS, seconds
+from oatport.times import MS, SECOND, seconds
 
 Answer = tuple[int, Any]
 
 CHANGES_KEPT = 10_000
+LATE_S = (2.0, 12.0)  # how late a transaction without an answer is carried out
 
 
 class KeyStore:
@@ -35,9 +36,12 @@
         self._dropped = 0  # changes up to this revision are not kept any more
         self.changed = asyncio.Event()
         self.commits = 0
+        self.down = False  # in an outage no lease ends
         self.over_limit = 0  # transactions refused for their size, or that of a value
 
     def expire(self) -> None:
+        if self.down:
+            return
         now = self._clock()
         for lease in [i for i, (ends, _) in self.leases.items() if ends <= now]:
             self.end_lease(lease)
@@ -137,12 +141,13 @@
         self._rates = {"requests": [rps, rps, 0.0], "changes": [write_rps, write_rps, 0.0]}  # rate, level, as of
         self.down = False
         self.slow_share = 0.01
+        self.late_share = 0.0  # of transactions: no answer, and carried out later
         self.asked: Counter[str] = Counter()
 
     def set_down(self, down: bool) -> None:
         if self.down and not down:
             self.store.renew_all()
-        self.down = down
+        self.down = self.store.down = down
 
     def set_limits(self, value_bytes: int, txn_ops: int, write_rps: float) -> None:
         """They fall without notice; what is stored stays."""
@@ -170,6 +175,9 @@
             self.asked["429"] += 1
             return 429, None
         path, _, query = target.partition("?")
+        if path == wire.COMMIT and self._rng.random() < self.late_share:
+            self._host.loop.later(round(self._rng.uniform(*LATE_S) * SECOND), self._host, self._carry_out, body)
+            await asyncio.Event().wait()
         if path == wire.COMMIT:
             count = len(body.get("then") or [])
             self.asked["changes"] += count
@@ -188,6 +196,11 @@
             return self.store.list(asked["under"], asked.get("from", ""), min(int(asked.get("page", 1000)), 1000))
         return self.store.get(path[len(wire.STORE) + 1:])
 
+    def _carry_out(self, body: Any) -> None:
+        if not self.down:
+            self.asked["late"] += 1
+            self.store.commit(body)
+
     async def _watch(self, under: str, after: int, wait_ms: int) -> Answer:
         until = self._host.loop.time() + wait_ms / 1000
         while True:
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -201,6 +201,14 @@
 
         return end
 
+    def _on_late_writes(self, fault: Fault) -> Callable[[], None]:
+        self.state.late_share += fault.amount
+
+        def end() -> None:
+            self.state.late_share -= fault.amount
+
+        return end
+
     def _on_cloud_down(self, fault: Fault) -> Callable[[], None]:
         self.cloud.down = True
 
@@ -226,6 +234,9 @@
                 if ask.accepted_at is not None and ask.done_at is None and ask.cancel_at is None]
         for ask in self._rng.sample(asks, min(fault.count, len(asks))):
             ask.cancel_at = now
+            if fault.amount > 0:
+                ask.cancel_at = now + self._rng.uniform(0, fault.amount)
+                self.loop.later(round((ask.cancel_at - now) * SECOND), None, self._cancel_at_once, ask)
 
     # --- pipelines and upgrades ---------------------------------------------------------------
 
@@ -282,7 +293,8 @@
     # --- the end of a day -----------------------------------------------------------------------
 
     def _on_machine_deaf(self, fault: Fault) -> Callable[[], None]:
-        there = self._some(10**6) if fault.zone else self._some(fault.count)
+        count = round(fault.amount * len(self.machines)) if fault.amount else fault.count
+        there = self._some(10**6) if fault.zone else self._some(count)
         names = {m.host.name for m in there if not fault.zone or m.worker.zone == fault.zone}
         return self._ruled(*(Rule("node", name, "deaf") for name in sorted(names)))
 
--- a/oatport/lab/world/users.py
+++ b/oatport/lab/world/users.py
@@ -33,6 +33,7 @@
     pause: float = 3.0
     removed_at: float = -1000.0
     open: int = 0
+    given: int = 0  # of nodes with as few open connections the one that was given fewest: not always the first
 
 
 class Balancer:
@@ -71,9 +72,10 @@
             left = [seen for seen in self.nodes if seen.healthy and seen not in tried]
             if not left:
                 break
-            seen = min(left, key=lambda s: s.open)
+            seen = min(left, key=lambda s: (s.open, s.given))
             tried.append(seen)
             seen.open += 1
+            seen.given += 1
             try:
                 return await self._net.request(user, seen.address, method, path, body, timeout_us, "")
             except NotSent:
@@ -118,6 +120,7 @@
         told: Callable[[Ask, str, int, Any], None],
     ) -> None:
         self._balancer, self._host, self.ask, self._rng, self._told = balancer, host, ask, rng, told
+        self._one = asyncio.Lock()  # an answer under way when another came is no older answer
 
     async def live(self) -> None:
         loop, ask = self._host.loop, self.ask
@@ -158,11 +161,12 @@
         self._host.loop.create_task(self._once("submit", "POST", wire.SUBMISSIONS, self.ask.body, SUBMIT_WITHIN))
 
     async def _once(self, what: str, method: str, path: str, body: Any, within: int) -> tuple[int, Any]:
-        try:
-            status, value = await self._balancer.ask(self._host, method, path, body, within)
-        except NoAnswer:
-            status, value = 0, None
-        self._told(self.ask, what, status, value)
+        async with self._one:
+            try:
+                status, value = await self._balancer.ask(self._host, method, path, body, within)
+            except NoAnswer:
+                status, value = 0, None
+            self._told(self.ask, what, status, value)
         return status, value
 
     async def _until(
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -101,9 +101,10 @@
         for address in (settings.bind, settings.internal_addr):
             self.net.at(address, host)
         boot = f"{name}-{self._boots[name]}"
-        node: Any
+        # By its host's clocks: by the machine's, when a process began depended on for how long that had been up.
         if name in self.new:
-            node = Node(settings, self.tuning, net=NodeNetwork(self.net, host), boot=boot)
+            node: Any = host.context.run(
+                Node, settings, self.tuning, net=NodeNetwork(self.net, host), boot=boot)
         else:
             node = builds.production().make_node(settings, self.net, host, boot)
         self.nodes[name], self.hosts[name] = node, host
