--- a/oatport/control/chains.py
+++ b/oatport/control/chains.py
@@ -137,7 +137,7 @@
 
         Should it be heard of, nothing of it starts. Bounded: what is forgotten fails by the condition of its claim.
         """
-        self.told_cancelled[ref] = told_after
+        self.told_cancelled.setdefault(ref, told_after)  # told again it was told no later
         if len(self.told_cancelled) > REMEMBERED_MOST:
             del self.told_cancelled[next(iter(self.told_cancelled))]
 
--- a/oatport/lab/world/net.py
+++ b/oatport/lab/world/net.py
@@ -143,6 +143,10 @@
                 return rule.what
         return ""
 
+    def carries(self, source: Host, target: Host) -> bool:
+        """What is sent now arrives, at once or slowly."""
+        return not self._cut(source, target) and self._what(source, target, "deaf") is None
+
     def _travel(self, source: Host, target: Host, call: Callable[[], None]) -> None:
         """Bring a message over: `call` happens on the target when it arrives."""
         link = self._links.get((source, target))
--- a/oatport/lab/world/rehearse.py
+++ b/oatport/lab/world/rehearse.py
@@ -110,7 +110,7 @@
         "violations": sum(len(result.violations) for result in results),
         "caught": sum(bool(result.violations) for result in results) if asked.guard else 0,
         "errors": sum(len(result.errors) for result in results),
-        "lease_kills": total["lease_kills"],
+        "lease_kills": total["lease_kills"], "lease_kills_unreached": total["lease_kills_unreached"],
         "leaderless_s_max": max(result.leaderless_s_max for result in results),
         "served_min_class": round(min(result.least(result.by_class) for result in results), 4),
         "served_min_team": round(min(result.least(result.by_team) for result in results), 4),
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -150,11 +150,23 @@
             return None
 
         worker.fails_us = fails_us
-        worker.on_begin, worker.on_end = self.checker.began, self.checker.ended
+        worker.on_begin, worker.on_end = self.checker.began, self._ended
         nodes = {name: bind for name, (bind, _) in deployment.node_addresses(self.plan).items()}
         self.machines[name] = MachineHost(self.net, host, worker, nodes, self.settings.workers, rng)
         self.machines[name].start()
 
+    def _ended(self, worker: Worker, task: str, attempt: int, why: str) -> None:
+        machine = self.machines.get(worker.name)
+        if why == "lease" and machine is not None and not self._reached(machine.host):
+            self.checker.counts["lease_kills_unreached"] += 1
+        self.checker.ended(worker, task, attempt, why)
+
+    def _reached(self, machine: Host) -> bool:
+        """A node that lives could answer this machine now."""
+        return not machine.frozen and any(
+            not node.frozen and self.net.carries(machine, node) and self.net.carries(node, machine)
+            for node in self.hosts.values())
+
     def _job_of(self, ref: str) -> dict[str, Any] | None:
         ask = self.checker.asks.get(ref)
         return ask.body if ask is not None and ask.at <= self.loop.time() else None
--- a/oatport/service/telling.py
+++ b/oatport/service/telling.py
@@ -89,6 +89,7 @@
         if lead is not self._here.lead:
             return
         complete = True
+        refs: dict[str, None] = {}
         for answer in (await self.on_told(["told", answered - since]), *answers):
             try:
                 if isinstance(answer, BaseException):
@@ -97,9 +98,10 @@
             except (NoAnswer, ValueError):
                 complete = False  # it can't be asked, is of an earlier version, or says something strange
                 continue
-            for ref in told.refs:
-                lead.told("cancelled", ref, None, 0)
+            refs |= dict.fromkeys(told.refs)
             complete = complete and told.covers(since, asked, answered)
+        for ref in refs:
+            lead.told("cancelled", ref, None, 0)
         if complete:
             lead.clock.known(asked)
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -278,7 +278,11 @@
     world.machine(1)
     world.step()
     world.cluster.cancel_told("j-000001", 0, world.now)
+    told_at = world.now
+    world.step(1.0)
+    world.cluster.cancel_told("j-000001", 0, world.now)  # by another node, or by the same once more
     first = world.submit()
+    assert world.cluster.jobs[first].cancel_after == told_at  # it counts from when it was told first
     after = world.submit(waitsOn=[first])
     world.cancel(first, tell=False)
     world.settle()
