Rehearsal: story limits, new troubles, starts after an end that a leader took in are counted

The checker knew a task on two machines only. It now also finds a start of a task whose end was reported to a leader that answered, unless a trouble destroyed the result (machine died or taken, lease ended), and counts starts after a confirmed cancellation and how long teams are at their limits.

New troubles: lost_answers, copies_for_next, machine_mute, cancel_now, quick_boots; story limits.

--- a/oatport/lab/world/checker.py
+++ b/oatport/lab/world/checker.py
@@ -15,6 +15,8 @@
 
 POLLS_FAIL_FOR = 75.0
 EPSILON = 1e-6
+AT_LIMIT = 0.9  # of its limit: a team that takes so much has no room for most of its tasks
+TROUBLES = ("died", "taken", "lease")  # what destroys a result and is not the service's doing
 STARTED_WITHIN = 30.0  # seconds; a job accepted later than so long before the end may just be waiting for a boot
 
 
@@ -41,6 +43,10 @@
     _by_job: defaultdict[str, dict[str, Worker]] = field(default_factory=lambda: defaultdict(dict))
     _use: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(lambda: [0.0, 0.0]))
     _done: defaultdict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
+    _done_on: dict[str, Worker] = field(default_factory=dict)  # task -> where it completed
+    _taken_in: set[str] = field(default_factory=set)  # tasks whose end was reported to a leader that answered
+    _looks: int = 0
+    _at_limit: Counter[str] = field(default_factory=Counter)  # team -> looks at which it was at its limit
 
     def break_of(self, rule: str, what: str) -> None:
         if not self.violations:
@@ -65,6 +71,9 @@
         if there is not None:
             self.break_of("ran_twice", f"{task} attempt {attempt} starts on {worker.name}, "
                                        f"attempt {there.attempt} is on {there.worker.name}")
+        if task in self._done[ref]:
+            self._began_again(worker, task)
+        self.counts["starts_cancelled"] += ask.cancelled_at is not None
         if ask.cancelled_at is not None and now > ask.cancelled_at + self.settings.workers.cancel_s + EPSILON:
             self.break_of("ran_cancelled", f"{task} starts on {worker.name}")
         for need in ask.needs:
@@ -83,6 +92,38 @@
                 limits.gpus_max > 0 and use[1] > limits.gpus_max + EPSILON):
             self.break_of("quota", f"{team} uses {use[0]:g} CPUs and {use[1]:g} GPUs with {task} on {worker.name}")
 
+    def _began_again(self, worker: Worker, task: str) -> None:
+        """A task starts though it is done.
+
+        That breaks a rule if a leader had taken its end in, unless a trouble destroyed the result before that could be
+        recorded: the machine died, was taken, or its lease ended. What the service itself did with it is no excuse.
+        """
+        self.counts["starts_after_done"] += 1
+        if task not in self._taken_in:
+            return
+        fate = self._done_on[task].results_lost.get(task, "")
+        if fate in TROUBLES:
+            self.counts["results_lost"] += 1
+            return
+        self.break_of("ran_twice", f"{task} starts on {worker.name} though it was done on "
+                                   f"{self._done_on[task].name}{': ' + fate if fate else ''}")
+
+    def took_in(self, tasks: list[str]) -> None:
+        """A leader answered a report that told of these ends."""
+        self._taken_in.update(task for task in tasks if task in self._done_on)
+
+    def look_at_limits(self) -> None:
+        """Which teams are at their limits now: to be called at equal intervals."""
+        self._looks += 1
+        for team in self.settings.teams:
+            cpus, gpus = self._use[team.name]
+            self._at_limit[team.name] += (team.cpus_max > 0 and cpus >= AT_LIMIT * team.cpus_max) or (
+                team.gpus_max > 0 and gpus >= AT_LIMIT * team.gpus_max)
+
+    def at_limit(self) -> dict[str, float]:
+        """For each team the share of the time in which it was at its limit."""
+        return {team.name: self._at_limit[team.name] / max(1, self._looks) for team in self.settings.teams}
+
     def _check_place(self, body: dict[str, Any], worker: Worker, task: str) -> None:
         zones = Counter(w.zone for t, w in self._by_job[str(body["ref"])].items() if t != task)
         wrong = ""
@@ -118,6 +159,7 @@
         self.counts["lease_kills"] += why == "lease"
         if why == DONE:
             self._done[ref].add(task)
+            self._done_on.setdefault(task, worker)
             ask.completed = len(self._done[ref])
             if ask.completed >= int(ask.body["legs"]) and ask.completed_at is None:
                 ask.completed_at = now
--- a/oatport/lab/world/deployment.py
+++ b/oatport/lab/world/deployment.py
@@ -47,8 +47,7 @@
                           next=later),
         cloud=CloudLimits(rps=4.0, list_lag_s=3.0),
         size=plan.nodes, zones=list(ZONES), clock_off_ms=5.0,
-        teams=[Team("north", cpus=cpus * 0.3, cpus_max=cpus * 0.7), Team("south", cpus=cpus * 0.3, cpus_max=cpus * 0.6),
-               Team("east", cpus_max=cpus * 0.25)],
+        teams=_teams(plan, cpus),
         objectives=[Objective(kind="wait", job_class="serve", within_s=8.0),
                     Objective(kind="deadline", job_class="batch"),
                     Objective(kind="deadline", job_class="settle"),
@@ -56,6 +55,15 @@
     )
 
 
+def _teams(plan: Plan, cpus: float) -> list[Team]:
+    """With less than their usual share a limit on GPUs too, of no less than the largest gang needs."""
+    share = plan.team_share
+    gpus = max(4.0, round(0.2 * plan.machines * share)) if share < 1 else 0.0
+    return [Team("north", cpus=cpus * 0.3 * share, cpus_max=max(cpus * 0.7 * share, 12.0), gpus_max=gpus),
+            Team("south", cpus=cpus * 0.3 * share, cpus_max=cpus * 0.6 * share),
+            Team("east", cpus_max=cpus * 0.25 * share)]
+
+
 def node_addresses(plan: Plan) -> dict[str, tuple[str, str]]:
     """Name of each node -> where it serves users and workers, and where the other nodes."""
     return {f"n{i}": (f"10.0.0.{i + 1}:8080", f"10.0.0.{i + 1}:8081") for i in range(plan.nodes)}
--- /dev/null
+++ b/oatport/lab/world/limits.py
@@ -0,0 +1,100 @@
+"""Plans in which teams are at their limits while jobs are cancelled, machines aren't reached and the leader changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from oatport.lab.world.drawing import PIPELINES, Draw
+from oatport.lab.world.meetings import CANCEL_S, LEASE_S
+from oatport.lab.world.plan import ALL, Plan
+
+TEAM_SHARE = 0.45  # of the usual limits: what comes is more than they allow
+
+
+class Limits(Draw):
+    """What meets, each by itself; a plan has several in a row."""
+
+    def _lead_changes(self, at: float) -> None:
+        """One way or another, or twice."""
+        ways: list[Callable[[float], None]] = [
+            lambda when: self.add("node_crash", when, self.end()),
+            lambda when: self.add("node_crash", when, self.end(), node=ALL),
+            lambda when: self.add("node_refused", when, self.rng.uniform(2.2, 9)),
+            lambda when: self.add("node_freeze", when, self.rng.uniform(3, LEASE_S)),
+            lambda when: self.add("node_alone", when, self.rng.uniform(3, CANCEL_S - LEASE_S)),
+            lambda when: self.add("node_cut", when, self.rng.uniform(3, 20), what="workers"),
+        ]
+        for _ in range(self.rng.choice([1, 1, 2])):
+            self.rng.choice(ways)(at)
+            at += self.rng.uniform(1.0, 6.0)
+
+    def _not_reached(self, at: float) -> None:
+        """Machines hang, are cut off, don't hear or aren't heard, for around a lease."""
+        span, many = LEASE_S * self.rng.uniform(0.3, 2.2), self.few * self.rng.choice([1, 3])
+        kind = self.rng.choice(["machine_hang", "machine_cut", "machine_deaf", "machine_mute"])
+        self.add(kind, at, span, count=many)
+
+    def _lag(self, at: float) -> None:
+        """What is written is late, or unsure; reports come again."""
+        for kind, span, amounts in (
+            ("late_writes", self.rng.uniform(2, 12), (0.2, 0.5, 0.8)),
+            ("lost_answers", self.rng.uniform(2, 12), (0.2, 0.5, 0.9)),
+            ("copies_for_next", self.rng.uniform(5, 30), (0.3, 1.0)),
+            ("report_copies", self.rng.uniform(10, 40), (3.0, LEASE_S, 3 * LEASE_S)),
+        ):
+            if self.rng.random() < 0.4:
+                self.add(kind, max(5.0, at - span * self.rng.random()), span, amount=self.rng.choice(amounts))
+
+    def cancelled(self, at: float) -> None:
+        """Jobs that run are cancelled, some of their machines hang, and the leader changes."""
+        self.add("cancel_now", at, count=self.few * self.rng.choice([2, 6]),
+                 amount=self.rng.choice([0.0, LEASE_S * self.rng.uniform(0.2, 2.0)]))
+        self._not_reached(at + self.rng.uniform(-2, 2))
+        self._lag(at)
+        self._lead_changes(at + self.rng.uniform(-1.5, 4))
+
+    def ended(self, at: float) -> None:
+        """Tasks end all the time, and machines are taken back or returned, when the leader changes."""
+        self.add("rush", max(1.0, at - 8), 8.0, name=self.rng.choice(["local", "train", "guest"]),
+                 amount=self.rng.uniform(5, 15))
+        if self.rng.random() < 0.6:
+            self.add("machines_taken", at - self.rng.uniform(0, 8), count=self.few * 3,
+                     amount=self.rng.choice([0.0, 4.0, 15.0]))
+        if self.rng.random() < 0.5:
+            self.add("machine_die", at - self.rng.uniform(0, 3), count=self.few)
+        self._lag(at)
+        self._lead_changes(at + self.rng.uniform(-1.0, 1.5))
+
+    def new_machines(self, at: float) -> None:
+        """Machines come up at once and get work while writes lag."""
+        self.add("quick_boots", at - 6, 14.0)
+        self.add("machine_die", at - 5, count=self.few * 2)
+        self.add("rush", max(1.0, at - 5), 6.0, name="batch", amount=self.rng.uniform(2, 6))
+        self._lag(at)
+        self._lead_changes(at + self.rng.uniform(-1, 3))
+
+    def away(self, at: float) -> None:
+        """All controllers are away for longer than a lease, or the state service is, with jobs cancelled before."""
+        self.add("cancel_now", at - self.rng.uniform(0, 3), count=self.few * 4,
+                 amount=self.rng.choice([0.0, LEASE_S]))
+        if self.rng.random() < 0.5:
+            self.add("node_crash", at, LEASE_S + self.rng.uniform(-3, 4), node=ALL)
+        else:
+            self.add("state_down", at, LEASE_S * self.rng.uniform(0.5, 2.5))
+            self._lead_changes(at + self.rng.uniform(1, 8))
+        self._lag(at)
+
+
+def limits(
+    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 120.0
+) -> Plan:
+    """All teams at their limits, and three rounds of what meets there."""
+    plan = Limits(seed, nodes, machines, zones, for_s)
+    rng = plan.rng
+    meetings = (plan.cancelled, plan.ended, plan.new_machines, plan.away)
+    at = rng.uniform(18, 28)
+    for turn in range(3):
+        meetings[(seed + turn) % len(meetings)](at)
+        at += rng.uniform(18, 30)
+    faults = tuple(sorted(plan.faults, key=lambda f: f.at_s))
+    return Plan(faults, for_s, nodes, machines, machines * rng.choice([1.0, 1.5]), PIPELINES, team_share=TEAM_SHARE)
--- a/oatport/lab/world/machine.py
+++ b/oatport/lab/world/machine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 from oatport import wire
@@ -32,6 +33,8 @@
         self._token_told_at = -self._half_lease
         self._timer: asyncio.TimerHandle | None = None
         worker.stirred = self._soon
+        # A node answered a report: which, and what was in it.
+        self.on_answered: Callable[[str, list[dict[str, Any]]], None] = lambda node, legs: None
         net.listen(worker.address, host, self._serve)
 
     def start(self) -> None:
@@ -109,6 +112,7 @@
         except NoAnswer:
             status, value = 0, None
         if status == 200:
+            self.on_answered(self._names[self._at], body["legs"])
             worker.answer(sent, session, value)
             self._token_changed(token)
             return sent + round(self._report_us * self._rng.uniform(0.75, 1.25))
--- a/oatport/lab/world/net.py
+++ b/oatport/lab/world/net.py
@@ -42,7 +42,9 @@
 
     source: str
     target: str
-    what: str  # hold, lost, refuse (connections), slow, lossy, deaf (nothing arrives, what is sent back is sent)
+    # hold, lost, refuse (connections), slow, lossy, deaf (nothing arrives, what is sent back is sent), mute (no request
+    # arrives, answers do)
+    what: str
     unless: str = ""  # not between two hosts that both have this tag
     amount: float = 0.0  # seconds more, or the share lost
 
@@ -80,6 +82,8 @@
         self._serving: dict[Host, dict[Wait, Host]] = {}
         self.rules: list[Rule] = []
         self.repeats: list[tuple[str, float, list[str]]] = []  # what comes again, up to when (s), and where
+        self.kept_share = 0.0  # of reports: a copy is kept for the next leader
+        self._kept: list[tuple[Host, str, str, bytes | None]] = []  # from whom, and what
         self.denied: list[tuple[str, str]] = []  # (host's name, address): answered 503, and nothing else
         self.messages: deque[str] = deque(maxlen=MESSAGES_KEPT)
         self.sent = 0
@@ -185,6 +189,8 @@
             host = self._hosts[address]
             if self.repeats:
                 self._repeat(source, address, method, target, data)
+            if path == wire.REPORT and self.kept_share and self._rng.random() < self.kept_share:
+                self._kept.append((source, method, target, data))
             self._travel(source, host, lambda: self._serve(source, host, address, method, target, data, wait))
             status, raw = await wait.future
         finally:
@@ -195,11 +201,11 @@
     async def _connect(self, source: Host, address: str, wait: Wait) -> None:
         idle = self._idle.get((source, address))
         while idle:
-            if idle.pop() > self.loop.time():
+            if idle.pop() > self.loop.time() and not self._mute(source, address):
                 return
         while not wait.future.done():
             host = self._hosts.get(address)
-            mute = host is not None and self._what(source, host, "deaf") is not None
+            mute = host is not None and (self._mute(source, address) or self._what(source, host, "deaf") is not None)
             if host is not None and not mute and not (self._cut(source, host) or self._cut(host, source)):
                 if self._what(source, host, "refuse") is not None or (address not in self._served and not host.dead):
                     raise NotSent("refused")
@@ -213,6 +219,10 @@
             await asyncio.wait([wait.future], timeout=KNOCK / SECOND)
         await wait.future
 
+    def _mute(self, source: Host, address: str) -> bool:
+        host = self._hosts.get(address)
+        return bool(self.rules) and host is not None and self._what(source, host, "mute") is not None
+
     def _serve(
         self, source: Host, host: Host, address: str, method: str, target: str, data: bytes | None, wait: Wait
     ) -> None:
@@ -250,6 +260,12 @@
             delay = round(self._rng.uniform(0.05, most_s) * SECOND)
             self.loop.later(delay, None, self._copy, source, there, method, target, data)
 
+    def deliver_kept(self, address: str) -> None:
+        """What was kept for the next leader arrives there, within the second in which it begins."""
+        for source, method, target, data in self._kept:
+            self.loop.later(self._rng.randrange(SECOND), None, self._copy, source, address, method, target, data)
+        self._kept.clear()
+
     def _copy(self, source: Host, address: str, method: str, target: str, data: bytes | None) -> None:
         host = self._hosts.get(address)
         if host is None or self.closed:
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -39,6 +39,12 @@
     "node_alone": ("node", "mode"),  # without state service and the other nodes, but with workers
     "machine_blink": ("count", "amount"),  # they are back at once, empty; amount 1: their sessions begin anew
     "late_writes": ("amount",),  # that share of transactions gets no answer and is carried out 2 to 12 s later
+    "lost_answers": ("amount",),  # that share of transactions is carried out at once, and only its answer is lost
+    "copies_for_next": ("amount",),  # of that share of reports a copy arrives at the next leader, as it begins
+    # So many, that share, or a zone: their reports reach no node, while direct commands reach them.
+    "machine_mute": ("count", "amount", "zone"),
+    "cancel_now": ("count", "amount"),  # so many that run, at once; some of their machines hang so long
+    "quick_boots": (),  # new machines are up within two seconds
     "late_repeats": ("amount",),  # requests that were carried out arrive once more, up to so many seconds later
 }
 WHAT = ("all", "state", "workers", "nodes")
@@ -87,6 +93,7 @@
     jobs_a_minute: float = 20.0
     pipelines_a_minute: float = 0.0
     pipelines_from_s: float = 0.0
+    team_share: float = 1.0  # of their usual limits is what teams have
     old_nodes: bool = False  # they begin with the version in production
 
     @property
@@ -126,7 +133,8 @@
 
 
 LIMITS = {"for_s": (1, 100_000), "nodes": (1, 7), "machines": (1, 5000), "jobs_a_minute": (0, 100_000),
-          "pipelines_a_minute": (0, 10_000), "pipelines_from_s": (0, 100_000)}
+          "pipelines_a_minute": (0, 10_000), "pipelines_from_s": (0, 100_000),
+          "team_share": (0.1, 10)}
 
 
 def parse(table: dict[str, Any]) -> Plan:
--- a/oatport/lab/world/rehearse.py
+++ b/oatport/lab/world/rehearse.py
@@ -17,16 +17,18 @@
 from oatport.lab.world import plan as plans
 from oatport.lab.world.breaks import broken
 from oatport.lab.world.drawing import draw, evening, upgrade
+from oatport.lab.world.limits import limits
 from oatport.lab.world.meetings import gap, meetings
 from oatport.lab.world.plan import Plan
 from oatport.lab.world.world import Result, World
 
+AT_LIMIT_FOR = 0.3  # of the time: a run in which no team was at its limit for so long says little of limits
 SHRINK_MOST = 40  # runs to make a failing plan smaller
 SHOWN, WIDTH = 40, 400  # of the newest messages of those concerned
 
 # name -> a plan of that family by seed, nodes and machines
 STORIES: dict[str, Callable[[int, int, int], Plan]] = {"any": draw, "upgrade": upgrade, "evening": evening, "gap": gap,
-                                                    "meetings": meetings}
+                                                    "meetings": meetings, "limits": limits}
 
 
 @dataclass(frozen=True)
@@ -120,6 +122,11 @@
         "orphaned": sum(row.startswith("orphaned") for result in results for row in result.violations),
         "over_limit": total["over_limit"],
         "pipelines": total["pipelines"], "in_time": total["in_time"],
+        "starts_after_done": total["starts_after_done"], "results_lost": total["results_lost"],
+        "starts_cancelled": total["starts_cancelled"],
+        "at_limit_most": round(max(max(result.at_limit.values(), default=0.0) for result in results), 3),
+        "at_limit_least": round(min(max(result.at_limit.values(), default=0.0) for result in results), 3),
+        "no_team_at_limit": sum(max(result.at_limit.values(), default=0.0) < AT_LIMIT_FOR for result in results),
         "gate_opened_early": total["gate_early"],
         "forgotten_s_max": round(max(result.forgotten_s for result in results), 1),
         "largest_served_min": round(min(result.largest_served for result in results), 4),
--- a/oatport/lab/world/state.py
+++ b/oatport/lab/world/state.py
@@ -142,6 +142,7 @@
         self.down = False
         self.slow_share = 0.01
         self.late_share = 0.0  # of transactions: no answer, and carried out later
+        self.unanswered_share = 0.0  # of transactions: carried out at once, and no answer
         self.asked: Counter[str] = Counter()
 
     def set_down(self, down: bool) -> None:
@@ -184,7 +185,10 @@
             if not self._spend("changes", count):
                 self.asked["429"] += 1
                 return 429, None
-            return self.store.commit(body)
+            answer = self.store.commit(body)
+            if self._rng.random() < self.unanswered_share:
+                await asyncio.Event().wait()
+            return answer
         if path == wire.HOLDS:
             return self.store.hold(body["lifeMs"])
         if path.startswith(wire.HOLDS):
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -18,6 +18,7 @@
 from oatport.times import SECOND, micros
 
 EVERY = "any"  # a tag that all hosts have
+HANG_MOST = 8  # machines, when jobs are cancelled at once
 FAILED_AFTER = 30 * SECOND  # a machine that died is listed as running for so long
 
 
@@ -38,6 +39,7 @@
     users: dict[str, User]
     new: set[str]
     settings: ClusterSettings
+    quick_boots = False  # machines are up within two seconds
     _rng: random.Random
 
     def start_node(self, name: str) -> None:
@@ -46,7 +48,7 @@
     def crash_node(self, name: str) -> None:
         raise NotImplementedError
 
-    def _released(self, name: str) -> None:
+    def _released(self, name: str, why: str = "released") -> None:
         raise NotImplementedError
 
     def _named(self, fault: Fault) -> str:
@@ -129,8 +131,11 @@
             for ends in ((machine.host.name, EVERY), (EVERY, machine.host.name))
         ))
 
-    def _on_machine_hang(self, fault: Fault) -> Callable[[], None]:
-        hung = [m for m in self._some(fault.count) if not m.host.frozen]
+    def _on_machine_hang(self, fault: Fault) -> None:
+        self._hang(self._some(fault.count), fault.for_s)
+
+    def _hang(self, machines: list[MachineHost], for_s: float) -> None:
+        hung = [m for m in machines if not m.host.frozen]
         for machine in hung:
             machine.host.freeze()
             self._outlives_no_lease(machine)
@@ -138,10 +143,10 @@
         def end() -> None:
             for machine in hung:
                 if not machine.host.dead:
-                    machine.worker.hung(micros(fault.for_s))
+                    machine.worker.hung(micros(for_s))
                     machine.host.thaw()
 
-        return end
+        self.loop.later(round(for_s * SECOND), None, end)
 
     def _outlives_no_lease(self, machine: MachineHost) -> None:
         """Within its lease a machine that hangs may go on at any time (PROTOCOL); after it nothing is left to go on."""
@@ -172,7 +177,7 @@
 
     def _taken(self, name: str) -> None:
         if self.registry.machines.pop(name, None) is not None:
-            self._released(name)
+            self._released(name, "taken")
 
     def _on_zone_cut(self, fault: Fault) -> Callable[[], None]:
         tag = f"zone:{fault.zone}"
@@ -209,6 +214,22 @@
 
         return end
 
+    def _on_lost_answers(self, fault: Fault) -> Callable[[], None]:
+        self.state.unanswered_share += fault.amount
+
+        def end() -> None:
+            self.state.unanswered_share -= fault.amount
+
+        return end
+
+    def _on_quick_boots(self, fault: Fault) -> Callable[[], None]:
+        self.quick_boots = True
+
+        def end() -> None:
+            self.quick_boots = False
+
+        return end
+
     def _on_cloud_down(self, fault: Fault) -> Callable[[], None]:
         self.cloud.down = True
 
@@ -238,6 +259,20 @@
                 ask.cancel_at = now + self._rng.uniform(0, fault.amount)
                 self.loop.later(round((ask.cancel_at - now) * SECOND), None, self._cancel_at_once, ask)
 
+    def _on_cancel_now(self, fault: Fault) -> None:
+        """Users call off jobs that run and have long to go, all at once; some of their machines hang meanwhile."""
+        now = self.loop.time()
+        running = {task.rsplit("/", 1)[0]: place.worker for task, place in self.checker.places.items()}
+        asks = [ask for ref, ask in self.checker.asks.items()
+                if ref in running and ask.done_at is None and ask.cancel_at is None and ask.accepted_at is not None]
+        asks = self._rng.sample(asks, min(fault.count, len(asks)))
+        for ask in asks:
+            ask.cancel_at = now + self._rng.uniform(0, 0.2)
+            self.loop.later(round((ask.cancel_at - now) * SECOND), None, self._cancel_at_once, ask)
+        if fault.amount > 0:
+            names = dict.fromkeys(running[ask.ref].name for ask in asks)
+            self._hang([self.machines[name] for name in list(names)[:HANG_MOST] if name in self.machines], fault.amount)
+
     # --- pipelines and upgrades ---------------------------------------------------------------
 
     def _needed(self) -> list[Ask]:
@@ -293,10 +328,17 @@
     # --- the end of a day -----------------------------------------------------------------------
 
     def _on_machine_deaf(self, fault: Fault) -> Callable[[], None]:
+        return self._ruled(*(Rule("node", name, "deaf") for name in self._meant(fault)))
+
+    def _on_machine_mute(self, fault: Fault) -> Callable[[], None]:
+        """Its reports reach nobody, while what is sent to it arrives, and is answered."""
+        return self._ruled(*(Rule(name, "node", "mute") for name in self._meant(fault)))
+
+    def _meant(self, fault: Fault) -> list[str]:
+        """So many machines, that share of all, or those of a zone."""
         count = round(fault.amount * len(self.machines)) if fault.amount else fault.count
         there = self._some(10**6) if fault.zone else self._some(count)
-        names = {m.host.name for m in there if not fault.zone or m.worker.zone == fault.zone}
-        return self._ruled(*(Rule("node", name, "deaf") for name in sorted(names)))
+        return sorted({m.host.name for m in there if not fault.zone or m.worker.zone == fault.zone})
 
     def _on_node_alone(self, fault: Fault) -> Callable[[], None]:
         name = self._named(fault)
@@ -316,6 +358,15 @@
     def _on_report_copies(self, fault: Fault) -> Callable[[], None]:
         return self._repeated("reports", fault)
 
+    def _on_copies_for_next(self, fault: Fault) -> Callable[[], None]:
+        """Copies of reports are kept, and arrive at the next leader just as it begins."""
+        self.net.kept_share += fault.amount
+
+        def end() -> None:
+            self.net.kept_share -= fault.amount
+
+        return end
+
     def _on_late_repeats(self, fault: Fault) -> Callable[[], None]:
         return self._repeated("requests", fault)
 
--- a/oatport/lab/world/worker.py
+++ b/oatport/lab/world/worker.py
@@ -90,6 +90,7 @@
         self.images: set[str] = set()
         self.fetching: dict[str, int] = {}  # image -> when it is there
         self.results: set[str] = set()  # tasks that completed: kept, shared by all machines
+        self.results_lost: dict[str, str] = {}  # ends that it can't tell of any more, and why
         self.progress: dict[str, int] = {}  # what tasks saved, shared by all machines (us of run time)
         self.speed = 1.0
         self.answered_at = clock()
@@ -158,6 +159,8 @@
             if held.status != "ended":
                 self.killed += why == "lease"
                 self._gone(task, attempt, held, why)
+            elif held.why == DONE:
+                self.results_lost[task] = why
         self.tasks.clear()
         self.fetching.clear()
 
@@ -283,6 +286,8 @@
                 self._stop(key, held, float(order.get("slackS") or 0.0))
             elif order["orderKind"] == "forget" and held.status == "ended":
                 del self.tasks[key]
+                if held.why == DONE:
+                    self.results_lost[key[0]] = "forgotten"
 
     def _stop(self, key: Key, held: Held, slack_s: float) -> None:
         saves = float(held.job.get("mooringS") or 0.0) > 0 and slack_s >= float(held.job.get("stowS") or 0.0)
--- a/oatport/lab/world/world.py
+++ b/oatport/lab/world/world.py
@@ -44,6 +44,7 @@
     forgotten_s: float = 0.0  # the longest that no question about a job was answered, once all troubles were over
     largest_served: float = 1.0  # the least share of a class's largest jobs that began
     largest_begin_s: float = 0.0  # the longest that one of them waited for its first task
+    at_limit: dict[str, float] = field(default_factory=dict)  # team -> share of the time in which it was at its limit
 
     def least(self, rows: dict[str, dict[str, float]]) -> float:
         return min((min(row.values()) for row in rows.values()), default=1.0)
@@ -67,6 +68,7 @@
         self.users: dict[str, User] = {}
         self.new: set[str] = set() if plan.old_nodes else set(deployment.node_addresses(plan))  # nodes of this version
         self.gate_early = 0
+        self._leads = 0  # the token of the lead that was seen last
         self.users_at: set[str] | None = None  # nodes that users reach; None: all
         self.machines: dict[str, MachineHost] = {}
         self.results: set[str] = set()
@@ -121,6 +123,8 @@
         self.cloud.born[row["ref"]] = self.loop.time()
         startup = deployment.TYPES[row["berthKind"]].boot_s
         delay = boot_us(self._rng, startup) if self.loop.time() > 1_001 else 0
+        if self.quick_boots and delay:
+            delay = round(self._rng.uniform(0.2, 2.0) * SECOND)
         if self._rng.random() < 0.01:
             return  # it never comes up, and is charged until it is returned
         self.loop.later(delay, None, self._boot, row)
@@ -153,8 +157,15 @@
         worker.on_begin, worker.on_end = self.checker.began, self._ended
         nodes = {name: bind for name, (bind, _) in deployment.node_addresses(self.plan).items()}
         self.machines[name] = MachineHost(self.net, host, worker, nodes, self.settings.workers, rng)
+        self.machines[name].on_answered = self._answered
         self.machines[name].start()
 
+    def _answered(self, node: str, legs: list[dict[str, Any]]) -> None:
+        """Ends count as taken in if the node that answered leads: others only keep leases."""
+        there = self.nodes.get(node)
+        if there is not None and there.lead is not None:
+            self.checker.took_in([leg["leg"] for leg in legs if leg.get("wreckCause") == "done"])
+
     def _ended(self, worker: Worker, task: str, attempt: int, why: str) -> None:
         machine = self.machines.get(worker.name)
         if why == "lease" and machine is not None and not self._reached(machine.host):
@@ -175,10 +186,10 @@
         """How long a task really runs: estimates are off by half and more."""
         return micros(float(job["voyageS"]) * random.Random(f"{self.seed} {task}").uniform(0.6, 1.5))
 
-    def _released(self, name: str) -> None:
+    def _released(self, name: str, why: str = "released") -> None:
         machine = self.machines.pop(name, None)
         if machine is not None:
-            machine.end("released")
+            machine.end(why)
 
     # --- a run ------------------------------------------------------------------------------
 
@@ -206,7 +217,7 @@
         return Result(
             self.seed, self.checker.violations, errors, self.net.digest, self.net.sent, counts,
             round(self._leaderless_most, 2), self.checker.served("cargo"), self.checker.served("crew"),
-            self._last, starved, self.checker.forgotten_most, *largest,
+            self._last, starved, self.checker.forgotten_most, *largest, self.checker.at_limit(),
         )
 
     def _remember(self) -> None:
@@ -244,6 +255,7 @@
                 next_picture = loop.time() + 1
             self._look_for_leader()
             self._look_at_gate()
+            self.checker.look_at_limits()
             await asyncio.sleep(SAMPLE_S)
 
     def _look_at_gate(self) -> None:
@@ -253,10 +265,14 @@
             self.checker.break_of("gate", f"new formats are written, and {', '.join(old)} may not read them")
 
     def _look_for_leader(self) -> None:
-        led = any(
-            node.lead is not None and node.lead.loaded and not node.lead.over and not self.hosts[name].frozen
-            for name, node in self.nodes.items()
-        )
+        led = False
+        for name, node in self.nodes.items():
+            if node.lead is None or node.lead.over or self.hosts[name].frozen:
+                continue
+            led = led or node.lead.loaded
+            if node.lead.token > self._leads:  # what was kept for the next leader comes as it begins
+                self._leads = node.lead.token
+                self.net.deliver_kept(deployment.node_addresses(self.plan)[name][0])
         self._leaderless = 0.0 if led else self._leaderless + SAMPLE_S
         self._leaderless_most = max(self._leaderless_most, self._leaderless)
 
