Ends taken in outlive their leader; one account of teams; a gang is done whole

`release` now leaves alone what alone tells of an end. - What a leader had taken in and could not record went with it. Nodes tell one another (`ends`, `ended`); where none knows, machines never heard of are given up only after their lease. - A gang of which one task is done was partly run again when a mate's machine was lost. By PROTOCOL all are done. - An unsure commit was judged by one key; a user's own cancellation in the same words made claims count as written. - Attempts that no record puts where they are took room of machines, not of teams or zones; of an unknown job of none. - A job that was over was taken up again from an older change, which cost the lead.

--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -11,11 +11,11 @@
 
 from oatport import wire
 from oatport.control import faults
-from oatport.control.model import CHUNK_TASKS, Job, Kind, Machine, Phase, Task, split_task
-from oatport.control.records import DARK_KEY, chunk_key, live_key
+from oatport.control.model import Job, Kind, Machine, Phase, Task, split_task
+from oatport.control.records import DARK_KEY, live_key
 from oatport.control.repeats import REFUSED
+from oatport.control.sightings import Sightings
 from oatport.control.tally import Tally, account
-from oatport.control.work import Work
 from oatport.times import MS, SECOND, micros
 
 log = logging.getLogger(__name__)
@@ -24,7 +24,7 @@
 DARK_LEAST = 3  # silent machines that make a zone a dark one
 
 
-class Cluster(Work):
+class Cluster(Sightings):
     tally = Tally()
 
     # --- machines ---------------------------------------------------------------------------
@@ -91,9 +91,9 @@
         self.touch_machine(machine)
         if machine.spot and machine.up_at:
             self.predictor.spot_held(now - machine.rented_at, why == "taken" or bool(machine.taken_at))
-        for name, _ in machine.strays:
-            self._stray_left(name)
-        machine.strays.clear()
+        self.hasten(machine)
+        for key in list(machine.strays):
+            self._stray_left(machine, key)
         for task in list(machine.tasks):
             self.requeue(task, lost=True)
         self.replan = True
@@ -152,14 +152,6 @@
             if machine.zone == zone:
                 machine.known_since = now
 
-    def _stray_left(self, name: str) -> None:
-        parts = split_task(name)
-        job = self.jobs.get(parts[0]) if parts else None
-        if job is not None:
-            job.strays = max(0, job.strays - 1)
-            self._clean_if_gone(job)
-            self.replan = True
-
     # --- reports ----------------------------------------------------------------------------
 
     def on_report(self, report: wire.Report, now: int, wall: int) -> Machine | None:
@@ -311,32 +303,23 @@
     def _on_others(self, machine: Machine, rows: list[wire.TaskReport], now: int) -> None:
         """Tasks in the report that no record puts there."""
         ended: set[tuple[str, int]] = set()
-        strays: dict[tuple[str, int], tuple[float, float, float]] = {}
+        strays: dict[tuple[str, int], None] = {}
         here = {(t.name, t.attempt) for t in machine.tasks if t.phase is not Phase.PENDING}
         for row in rows:
             key = (row.task, row.attempt)
             if row.status == wire.EXITED:
                 ended.add(key)
                 continue
-            if key in here:
-                continue
-            parts = split_task(row.task)
-            job = self.jobs.get(parts[0]) if parts else None
-            spec = job.spec if job else None
-            strays[key] = (spec.cpus, spec.gpus, spec.memory_gb) if spec else (0.0, 0.0, 0.0)
+            if key not in here:
+                strays[key] = None
         machine.ended = ended
-        for key in machine.strays.keys() - strays.keys():
-            machine.give(*machine.strays.pop(key))
-            self._stray_left(key[0])
-        for key in strays.keys() - machine.strays.keys():
-            log.info("stray task %s attempt %d on %s", key[0], key[1], machine.name)
-            machine.strays[key] = strays[key]
-            machine.take(*strays[key])
-            parts = split_task(key[0])
-            job = self.jobs.get(parts[0]) if parts else None
-            if job is not None:
-                job.strays += 1
-            self.to_send.add(machine)
+        for key in [key for key in machine.strays if key not in strays]:
+            self._stray_left(machine, key)
+        for key in strays:
+            if key not in machine.strays:
+                self._stray_came(machine, key)
+        if machine.taken_at:
+            self.hasten(machine)  # soon it can't tell of them any more
 
     def _on_notice(self, machine: Machine, notice_s: float, now: int) -> None:
         """The cloud takes it back soon: what can't finish in time leaves now, saving if it can.
@@ -442,11 +425,7 @@
         task = job.tasks.get(parts[1])
         if task is not None and task.machine is machine and task.attempt == attempt:
             return False
-        # Under this key, or under that which it had before all nodes read parts.
-        return not any(
-            key in self.dirty or key in self.urgent or key in self.in_flight
-            for key in {self.layout.task_key(job, parts[1]), chunk_key(job.ref, parts[1] // CHUNK_TASKS)}
-        )
+        return not self.unwritten(job, parts[1])
 
     def report_came(self, machine: Machine, report: wire.Report) -> None:
         """A report that is about to be answered. A worker has one in flight at a time: what the answer to an earlier
--- /dev/null
+++ b/oatport/control/ends.py
@@ -0,0 +1,42 @@
+"""Ends of tasks that leaders took in and had not recorded yet, as they told the other nodes.
+
+That a task is done is true for good: whoever leads next may go by it, under whatever token it was reported. Without it
+a task whose machine hung, or was returned, after its end was reported ran again under the next leader.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+End = tuple[str, int, int]  # job, task and the attempt that is done
+
+ROWS_MOST = 2_000  # told at a time
+LEADS_MOST = 4  # of so many leads ends are kept, the newest
+
+
+def parse(rows: Any) -> list[End]:
+    """Raises ValueError or TypeError where they are not ends."""
+    if not isinstance(rows, list) or len(rows) > ROWS_MOST:
+        raise ValueError("not a list of ends")
+    found: list[End] = []
+    for ref, index, attempt in rows:
+        if not isinstance(ref, str) or type(index) is not int or type(attempt) is not int:
+            raise ValueError("not an end")
+        found.append((ref, index, attempt))
+    return found
+
+
+class Ends:
+    def __init__(self) -> None:
+        self._of: dict[int, list[End]] = {}  # token -> what that leader had not recorded when it last told
+
+    def note(self, token: int, ends: list[End]) -> None:
+        self._of[token] = ends
+        while len(self._of) > LEADS_MOST:
+            del self._of[min(self._of)]
+
+    def before(self, token: int) -> list[End] | None:
+        """What earlier leaders had not recorded; None: nothing is known of any."""
+        if not any(told < token for told in self._of):
+            return None
+        return [end for told, ends in self._of.items() if told < token for end in ends]
--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -35,8 +35,7 @@
         for job in cluster.waiting:
             if job.spec.gpus > 0 or job.suspect:
                 continue  # it has machines of its own sort, or rather no use for any
-            use = cluster.teams.get(job.spec.team)
-            cpus = min(job.pending, use.room(job.spec) if use else 0, 50) * job.spec.cpus
+            cpus = min(job.pending, cluster.teams.room(job.spec), 50) * job.spec.cpus
             if not job.spec.spot or job.tier != SPOT:
                 steady_need += cpus
             elif job.rank != IDLE_RANK:
@@ -162,11 +161,11 @@
         for machine in cluster.machines.values():
             if machine.deaf and unheard and not machine.releasing:
                 continue  # it is rather this node that reaches none: others would be just as deaf to it
+            if machine.tasks or machine.strays or cluster.witnesses(machine):
+                continue
             if machine.releasing:
                 chosen.append(machine)  # asked before without an answer
                 continue
-            if machine.tasks or machine.strays:
-                continue
             if not machine.up_at:
                 # In a zone that is cut off it may be up and unheard: charged all the same.
                 patience = micros(machine.type.boot_s * (2 if machine.zone in cluster.dark else tuning.boot_patience))
--- a/oatport/control/model.py
+++ b/oatport/control/model.py
@@ -128,7 +128,7 @@
     pressing: bool = False  # it waits for so long that no equal goes before it any more
     once: bool = False  # its class limits repeats: rows of its records tell more
     lost_cause: str = ""  # a task of it may not run again: it ends as lost
-    strays: int = 0  # attempts of it seen where no record puts them: nothing is placed meanwhile
+    strays: int = 0  # attempts of it seen where no record puts them: nothing of it is placed meanwhile
     due: int = 0  # time of day of the deadline that it can still meet
     late: bool = False  # it meets none any more
     target: int = 0  # the first that it could meet if it ran now; far away if there is none, 0: not judged
@@ -273,8 +273,8 @@
     taken_at: int = 0  # when the cloud takes it back; 0: no notice
     tasks: set[Task] = field(default_factory=set)
     work: set[Task] = field(default_factory=set)  # those of them that end by themselves: all but replicas
-    # Live tasks in its newest report that no record puts here, and what they take.
-    strays: dict[tuple[str, int], tuple[float, float, float]] = field(default_factory=dict)
+    # Live tasks in its newest report that no record puts here; of which job, and what they take, if that is known.
+    strays: dict[tuple[str, int], tuple[Job | None, wire.Submission | None]] = field(default_factory=dict)
     # Ended attempts still in the worker's reports.
     ended: set[tuple[str, int]] = field(default_factory=set)
     # Attempts with sent starts whose fate is unknown, and how many: one may still land, so the
--- a/oatport/control/placer.py
+++ b/oatport/control/placer.py
@@ -67,7 +67,7 @@
                 continue
             spec = job.spec
             use = cluster.teams.get(spec.team)
-            limit = min(job.pending, use.room(spec) if use else 0)
+            limit = min(job.pending, cluster.teams.room(spec))
             if use is not None and limit < (job.pending if job.kind is Kind.GANG else 1):
                 self._make_quota(job, now)
                 # The rest of a line is of the same team, and wants as much.
@@ -210,9 +210,8 @@
         spec = job.spec
         if job.on_machines or job.pending + len(job.done) < spec.tasks:
             return 0
-        use = self.cluster.teams.get(spec.team)
         need = job.pending
-        if use is None or use.room(spec) < need:
+        if self.cluster.teams.room(spec) < need:
             return 0
         zones = {m.zone for m in usable} if spec.one_zone else {None}
         best: list[Machine] | None = None
--- a/oatport/control/records.py
+++ b/oatport/control/records.py
@@ -84,6 +84,7 @@
         self.to_clean: dict[Job, None] = {}
         self.to_call_off: dict[str, Job] = {}
         self.orphans: list[str] = []  # left keys without a job
+        self.over: dict[str, int] = {}  # jobs that were dropped -> the revision at which their end was recorded
 
     def drop_job(self, job: Job) -> None:
         """Its end, or the removal of what was left of it, is committed."""
@@ -102,6 +103,15 @@
             self.dirty[key] = None
             self._ends_since.setdefault(key, self.now)
 
+    def keys_of(self, job: Job, index: int) -> set[str]:
+        """Under which a task lies, or lay before all nodes read parts."""
+        return {self.layout.task_key(job, index), chunk_key(job.ref, index // CHUNK_TASKS)}
+
+    def unwritten(self, job: Job, index: int) -> bool:
+        """What became of a task is in no record yet, as far as is known."""
+        return any(key in waits for key in self.keys_of(job, index)
+                   for waits in (self.dirty, self.urgent, self.in_flight, self._held_back))
+
     def touch_machine(self, machine: Machine, *, urgent: bool = False) -> None:
         key = self.layout.fleet_key(machine.number)
         if urgent:
@@ -380,6 +390,7 @@
                     self.to_send.update(t.machine for t in task.job.tasks.values() if t.machine)
         for job in (*batch.finished, *batch.cleaned, *batch.called_off):
             self.drop_job(job)
+            self.over[job.ref] = revision
         for job in batch.finished:
             if not job.lost_cause:
                 self.job_done(job.ref, int(batch.sets[job_key(job.ref)]["ended"]))
--- a/oatport/control/recovery.py
+++ b/oatport/control/recovery.py
@@ -15,7 +15,7 @@
 from oatport.control.formats import FORMATS_KEY, READS, reads_of
 from oatport.control.layout import FLEET_CHUNK, group_of
 from oatport.control.lists import note_slim
-from oatport.control.model import Hold, Job, Machine, Phase, Task, digits
+from oatport.control.model import Hold, Job, Kind, Machine, Phase, Task, digits
 from oatport.control.records import (
     CANCEL_MARK,
     DARK_KEY,
@@ -156,6 +156,8 @@
         spent = next((task for task in job.tasks.values() if task.spent), None) if job.once else None
         if spent is not None and not job.cancelled:
             cluster.lose(spent, "a task was lost with its machine or with an earlier leader, and may not run again")
+        if job.kind is Kind.GANG and job.done and not job.cancelled:
+            cluster.complete_gang(job)
         if not job.pending:
             cluster.waiting.discard(job)
         if len(job.done) >= job.spec.tasks and not job.cancelled:
--- a/oatport/control/rentals.py
+++ b/oatport/control/rentals.py
@@ -165,8 +165,7 @@
         self, job: Job, coming: Rooms, freeing: list[float], planned: dict[tuple[str, str, bool], int], now: int,
     ) -> None:
         cluster, spec = self.cluster, job.spec
-        use = cluster.teams.get(spec.team)
-        left = min(job.pending, use.room(spec) if use else 0)
+        left = min(job.pending, cluster.teams.room(spec))
         if job.kind is Kind.GANG:
             if left == job.pending and not job.on_machines:
                 self._cover_gang(job, coming, planned, now)
--- /dev/null
+++ b/oatport/control/teams.py
@@ -0,0 +1,68 @@
+"""What teams take of the machines: the one account that placing, preemption, renting and guarantees go by.
+
+| counted for its team | from | until |
+| --- | --- | --- |
+| a claim, written down or under way | `Work.assign`: before it can go out | it is withdrawn and no start went out, or as below |
+| a task on a machine, stopped or not, cancelled or not, of this leader or an earlier one | its claim, or its record at a takeover | a report under the own token or of a later session doesn't list it or tells its end; its machine is proven gone |
+| a stray: an attempt that a report shows and no record puts there | that report | a newer report doesn't list it, or its machine is proven gone |
+
+An attempt of a job that isn't known may be of any team: until its job's record is read, no team has room.
+"""  # noqa: E501 (a table)
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from oatport import wire
+from oatport.control.model import PRIORITIES
+from oatport.settings import Team
+
+
+@dataclass(slots=True)
+class TeamUse:
+    """What a team's tasks take; those not proven gone count (rule `quota`)."""
+
+    limits: Team
+    cpus: float = 0.0
+    gpus: float = 0.0
+    rank_arrays: list[int] = field(default_factory=lambda: [0] * len(PRIORITIES))  # array tasks, by priority
+
+    def room(self, spec: wire.Submission) -> int:
+        """How many more tasks of a job the team's limit allows."""
+        count = spec.tasks
+        if self.limits.cpus_max > 0:
+            count = min(count, int((self.limits.cpus_max - self.cpus + 1e-9) // spec.cpus))
+        if self.limits.gpus_max > 0 and spec.gpus > 0:
+            count = min(count, int((self.limits.gpus_max - self.gpus + 1e-9) // spec.gpus))
+        return max(count, 0)
+
+    def beyond_guarantee(self) -> bool:
+        return self.cpus > self.limits.cpus + 1e-9 or self.gpus > self.limits.gpus + 1e-9
+
+
+class Teams(dict[str, TeamUse]):
+    """All teams by name, and the attempts seen on machines whose team isn't known."""
+
+    def __init__(self, teams: Iterable[Team]) -> None:
+        super().__init__((team.name, TeamUse(team)) for team in teams)
+        self.unknown: Counter[str] = Counter()  # ids of jobs that aren't known -> attempts of them on machines
+
+    def room(self, spec: wire.Submission) -> int:
+        """How many more tasks of a job may start now; none where that can't be known."""
+        use = self.get(spec.team)
+        return 0 if use is None or self.unknown else use.room(spec)
+
+    def count(self, spec: wire.Submission, sign: int) -> None:
+        """A task of the job has come to a machine (1), or is proven gone from one (-1)."""
+        use = self.get(spec.team)
+        if use is not None:
+            use.cpus += sign * spec.cpus
+            use.gpus += sign * spec.gpus
+
+    def lost_sight(self, ref: str) -> None:
+        """An attempt of a job that isn't known is gone, or its job is known now."""
+        self.unknown[ref] -= 1
+        if self.unknown[ref] <= 0:
+            del self.unknown[ref]
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -5,7 +5,6 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from oatport import wire
@@ -17,37 +16,16 @@
 from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
 from oatport.control.predictor import Predictor
 from oatport.control.records import DARK_KEY, cancel_key, live_key
-from oatport.control.repeats import Repeat, Repeats, may_repeat
+from oatport.control.repeats import Repeat, Repeats, may_repeat, never_sent
 from oatport.control.router import SPOT, Router
 from oatport.control.served import Served
-from oatport.settings import ClusterSettings, Team, Tuning
+from oatport.control.teams import Teams
+from oatport.settings import ClusterSettings, Tuning
 from oatport.times import SECOND, micros
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class TeamUse:
-    """What a team's tasks take; those not proven gone count (rule `quota`)."""
-
-    limits: Team
-    cpus: float = 0.0
-    gpus: float = 0.0
-    rank_arrays: list[int] = field(default_factory=lambda: [0] * len(PRIORITIES))  # array tasks, by priority
-
-    def room(self, spec: wire.Submission) -> int:
-        """How many more tasks of a job the team's limit allows."""
-        count = spec.tasks
-        if self.limits.cpus_max > 0:
-            count = min(count, int((self.limits.cpus_max - self.cpus + 1e-9) // spec.cpus))
-        if self.limits.gpus_max > 0 and spec.gpus > 0:
-            count = min(count, int((self.limits.gpus_max - self.gpus + 1e-9) // spec.gpus))
-        return max(count, 0)
-
-    def beyond_guarantee(self) -> bool:
-        return self.cpus > self.limits.cpus + 1e-9 or self.gpus > self.limits.gpus + 1e-9
-
-
 class Work(Chains):
     """The part of the leader's view that is about jobs; `Cluster` adds the machines."""
 
@@ -81,7 +59,7 @@
         self.stirred: dict[Job, None] = {}  # jobs whose counts, as users are shown them, may have changed
         self.moves = 0  # goes up when a task comes to a machine or leaves it
         self.released: set[str] = set()  # names that a release answered: gone for good
-        self.teams = {team.name: TeamUse(team) for team in settings.teams}
+        self.teams = Teams(settings.teams)
         self.spent: defaultdict[str, float] = defaultdict(float)  # money by what machines did
         self._accounted_at = 0
         self.replica_us = 0  # time that replicas were on machines, all in all
@@ -98,6 +76,8 @@
         self.repeats: Repeats = {}
         self.on_measured: Callable[[Job, int], None] = lambda job, took: None  # a task's run time was seen
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
+        self.ends_unknown = False  # no node knows which ends earlier leaders took in and did not record
+        self.unwritten_ends: dict[tuple[Job, int], int] = {}  # tasks that are done, and the attempt: maybe in no record
 
     def dark_value(self) -> dict[str, Any]:
         """Zones that are cut off, and since when by the time of day; those with a node that keeps leases there."""
@@ -113,6 +93,8 @@
             self.versions[live_key(ref)] = version
             self.join(job)
             self.counted(job)
+            if ref in self.teams.unknown:
+                self.settle_strays(ref, spec)
             if ref in self.told_cancelled:
                 self.cancel_job(ref, 0, self.told_cancelled[ref])
         return job
@@ -274,18 +256,29 @@
         self.moves += 1
         machine.calm = None
         machine.tasks.add(task)
-        machine.take(spec.cpus, spec.gpus, spec.memory_gb)
+        self.occupy(job, spec, machine, 1)
         self._count_rank(task, machine, 1)
         if job.kind is Kind.SERVICE:
             machine.steady_cpus += spec.cpus
         else:
             machine.work.add(task)
         job.on_machines += 1
-        job.zones[machine.zone] = job.zones.get(machine.zone, 0) + 1
-        use = self.teams.get(spec.team)
-        if use:
-            use.cpus += spec.cpus
-            use.gpus += spec.gpus
+
+    def occupy(self, job: Job | None, spec: wire.Submission, machine: Machine, sign: int) -> None:
+        """An attempt is on a machine from now on (1), or proven gone from it (-1): the one place where that is counted.
+
+        For its machine, its team and its job's zones; whether a record puts it there or only a report shows it.
+        """
+        machine.take(sign * spec.cpus, sign * spec.gpus, sign * spec.memory_gb)
+        self.teams.count(spec, sign)
+        if job is not None:
+            job.zones[machine.zone] = job.zones.get(machine.zone, 0) + sign
+            if not job.zones[machine.zone]:
+                del job.zones[machine.zone]
+
+    def settle_strays(self, ref: str, spec: wire.Submission | None) -> None:
+        """A job of which attempts were seen is known now; None: nobody ever submitted it."""
+        raise NotImplementedError
 
     def unassign(self, task: Task) -> None:
         """The task is on no machine: it never got there, or is proven gone."""
@@ -296,21 +289,14 @@
         machine.calm = None
         self.unacked.discard(task)
         self.stirred[job] = None
-        machine.give(spec.cpus, spec.gpus, spec.memory_gb)
+        self.occupy(job, spec, machine, -1)
         self._count_rank(task, machine, -1)
         machine.work.discard(task)
         if job.kind is Kind.SERVICE:
             machine.steady_cpus -= spec.cpus
         job.on_machines -= 1
-        job.zones[machine.zone] -= 1
-        if not job.zones[machine.zone]:
-            del job.zones[machine.zone]
         if spec.gpus > 0 and machine.free_gpus >= machine.type.gpus - 1e-9:
             machine.gpus_idle_since = self.now
-        use = self.teams.get(spec.team)
-        if use:
-            use.cpus -= spec.cpus
-            use.gpus -= spec.gpus
         task.to_pending()
         self.replan = True
 
@@ -320,6 +306,9 @@
         `unexecuted`: it is proven that the attempt never began.
         """
         job = task.job
+        if job.kind is Kind.GANG and job.done and not job.cancelled:
+            self.finish_task(task, self.now, measured=False)  # one of them is done, so it is as well
+            return
         repeat = self.repeats.get(job.spec.job_class, Repeat.ANY)
         if not job.cancelled and not may_repeat(repeat, task, unexecuted):
             self.lose(task, "a task may have begun and may not run again")
@@ -362,11 +351,8 @@
     def _gang_lost_task(self, job: Job) -> None:
         """A gang runs whole or not: what is left of this attempt is called off.
 
-        Running tasks exit with `mates_gone` by themselves and a stopped one would do no harm; if one
-        task is done all are, so with done ones the rest are left to report it.
+        Running tasks exit with `mates_gone` by themselves and a stopped one would do no harm.
         """
-        if job.done:
-            return
         for task in list(job.tasks.values()):
             if task.phase is Phase.PLACED and task.status in ("", wire.FETCHING, wire.WAITING):
                 self.stop(task, 0.0)
@@ -394,6 +380,9 @@
             # Committed by this leader, but its start never went out: it is nowhere.
             job = task.job
             self.unassign(task)
+            if job.kind is Kind.GANG and job.done and not job.cancelled:
+                self.finish_task(task, self.now, measured=False)
+                return
             job.again.append(task.index)
             self.touch(task)
             if job.cancelled:
@@ -421,8 +410,11 @@
             self.unassign(task)
         job.tasks.pop(task.index, None)
         job.done.add(task.index)
+        self.unwritten_ends[job, task.index] = task.attempt
         self.stirred[job] = None
         self.touch(task)
+        if job.kind is Kind.GANG and not job.cancelled:
+            self.complete_gang(job)
         if job.cancelled:
             self._clean_if_gone(job)
         elif len(job.done) >= job.spec.tasks and not job.finishing:
@@ -430,6 +422,26 @@
             self.waiting.discard(job)
             self.to_finish[job] = None
 
+    def complete_gang(self, job: Job) -> None:
+        """One of its tasks is done, so all are (PROTOCOL, "Gangs"): what is on no machine is done now, the rest once it
+        is proven gone.
+
+        A task whose machine died in the moment of the end was once started again by itself, though it was done.
+        """
+        for task in list(job.tasks.values()):
+            if task.phase is Phase.PLACED and not never_sent(task):
+                continue
+            if task.machine is not None:
+                self.unassign(task)
+            del job.tasks[task.index]
+            job.done.add(task.index)
+            self.unwritten_ends[job, task.index] = task.attempt
+            self.touch(task)
+        job.again.clear()
+        job.done.update(range(job.fresh, job.spec.tasks))
+        job.fresh = job.spec.tasks
+        self.waiting.discard(job)
+
     @staticmethod
     def _learn_speed(machine: Machine, took: int, predicted: int) -> None:
         if predicted > 0:
--- a/oatport/lab/world/worker.py
+++ b/oatport/lab/world/worker.py
@@ -40,6 +40,7 @@
         self.members: dict[tuple[str, int], dict[str, tuple[Worker, Held]]] = {}
         self.broken: dict[tuple[str, int], int] = {}  # since when a task of the attempt is gone
         self.first_image: dict[tuple[str, int], int] = {}
+        self.stopped: set[tuple[str, int]] = set()  # attempts of which a task was told to stop: no progress since
 
     def join(self, task: str, attempt: int, worker: Worker, held: Held) -> None:
         key = (task.rsplit("/", 1)[0], attempt)
@@ -59,15 +60,22 @@
         there = self.members.get(key, {})
         there.pop(task, None)
         if done:
-            for worker, held in list(there.values()):
-                held.ends_at = now
-                worker.stirred()
+            # They complete together: if one is done, all are.
+            for mate, (worker, held) in list(there.items()):
+                if held.status != "ended":
+                    worker.complete((mate, attempt), held)
         else:
             self.broken.setdefault(key, now)
             for worker, _ in there.values():
                 worker.stirred()
 
 
+    def stands(self, task: str, attempt: int) -> bool:
+        """Its progress has stopped: a task of the attempt is gone, or was told to stop."""
+        key = (task.rsplit("/", 1)[0], attempt)
+        return key in self.broken or key in self.stopped
+
+
 class Worker:
     def __init__(
         self, clock: Callable[[], int], name: str, address: str, type_name: str, zone: str, spot: bool,
@@ -124,7 +132,8 @@
             if held.status == "running" and held.fails_at is not None and now >= held.fails_at:
                 self._end(key, held, "error")
             if held.status == "running" and held.ends_at is not None and now >= held.ends_at:
-                self._end(key, held, DONE)
+                if not self._stands(key, held):
+                    self._end(key, held, DONE)
             if held.status == "flushing" and now >= held.saved_at:
                 held.stored = True
                 self._end(key, held, STOPPED)
@@ -136,7 +145,8 @@
             if held.status == "pulling":
                 times.append(held.image_at)
             elif held.status == "running":
-                times += [at for at in (held.ends_at, held.fails_at) if at is not None]
+                ends_at = None if self._stands(key, held) else held.ends_at
+                times += [at for at in (ends_at, held.fails_at) if at is not None]
             elif held.status == "flushing":
                 times.append(held.saved_at)
             if self.gangs is not None and held.job.get("rig") == "gang" and held.status in ("waiting", "running"):
@@ -209,6 +219,14 @@
         elif now >= self.gangs.first_image.get(attempt, now) + self.gangs.wait_us:
             self._end(key, held, ALONE)
 
+    def _stands(self, key: Key, held: Held) -> bool:
+        return held.job.get("rig") == "gang" and self.gangs is not None and self.gangs.stands(*key)
+
+    def complete(self, key: Key, held: Held) -> None:
+        """Its gang has completed."""
+        self._end(key, held, DONE)
+        self.stirred()
+
     def _mates_gone(self, key: Key, now: int) -> bool:
         since = self.gangs.broken.get((key[0].rsplit("/", 1)[0], key[1])) if self.gangs is not None else None
         return since is not None and self.gangs is not None and now >= since + self.gangs.peer_us
@@ -290,6 +308,8 @@
                     self.results_lost[key[0]] = "forgotten"
 
     def _stop(self, key: Key, held: Held, slack_s: float) -> None:
+        if held.status == "running" and held.job.get("rig") == "gang" and self.gangs is not None:
+            self.gangs.stopped.add((key[0].rsplit("/", 1)[0], key[1]))
         saves = float(held.job.get("mooringS") or 0.0) > 0 and slack_s >= float(held.job.get("stowS") or 0.0)
         if held.status == "running" and saves:
             held.status, held.stopped_at = "flushing", self._clock()
--- a/oatport/service/fleetkeeper.py
+++ b/oatport/service/fleetkeeper.py
@@ -157,7 +157,14 @@
             self._helm.wake()
 
     async def release(self, machines: list[Machine], why: str) -> None:
-        """Return machines; the answer proves that they and all on them are gone."""
+        """Return machines; the answer proves that they and all on them are gone.
+
+        Not those that alone tell of an end: they are asked for again once that is recorded.
+        """
+        machines = [m for m in machines if not self.cluster.witnesses(m)]
+        if not machines:
+            self._helm.wake()
+            return
         for machine in machines:
             machine.releasing = True
         try:
--- a/oatport/service/groupcommit.py
+++ b/oatport/service/groupcommit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from typing import Any
 
 from oatport import wire
 from oatport.clients.http import Bucket, NoAnswer, Refused, jitter
@@ -134,40 +135,54 @@
                 self.cluster.cancel_job(job.ref, 0, self._helm.clock.known_at)
 
     async def _was_applied(self, batch: Batch) -> bool:
-        """After an unsure try: did it get through? Its keys then share the revision of the commit."""
-        key = next(iter(batch.sets), None) or batch.drops[0]
+        """After an unsure try: did it get through? All that it wrote then has the revision of the commit.
+
+        One key tells nothing: a job that it called off may have been cancelled by its user, in the same words, while
+        claims that went along were never written. A record that somebody has changed since leaves it to the others;
+        `jobs/REF` alone is ever written by others, and only where the commit did not come first.
+        """
+        revisions: set[int] = set()
+        for key in (*batch.sets, *batch.drops):
+            found = await self._sure(key)
+            if self._helm.over:
+                return False
+            if key in batch.drops:
+                if found is not None:
+                    return False
+            elif found is None or found[1] <= batch.conditions.get(key, 0) or not _same(found[0], batch.sets[key]):
+                return False
+            else:
+                revisions.add(found[1])
+        if len(revisions) > 1:
+            return False
+        self.cluster.committed(batch, revisions.pop() if revisions else 0, steady())
+        return True
+
+    async def _sure(self, key: str) -> tuple[Any, int] | None:
+        """What is recorded under a key, however often it has to be asked for."""
         while not self._helm.over:
             try:
-                found = await self.state.get(key)
+                return await self.state.get(key)
             except (NoAnswer, Refused):
                 await asyncio.sleep(jitter(200 * MS))
-                continue
-            if key in batch.sets:
-                applied = found is not None and found[1] > batch.conditions.get(key, 0) and found[0] == batch.sets[key]
-                revision = found[1] if found is not None else 0
-            else:
-                applied, revision = found is None, 0
-            if applied:
-                self.cluster.committed(batch, revision, steady())
-            return applied
-        return False
+        return None
 
     async def _reread(self, ref: str) -> int:
         """Take in how a job stands; the version of its record if it is cancelled."""
-        while not self._helm.over:
-            try:
-                found = await self.state.get(job_key(ref))
-            except (NoAnswer, Refused):
-                await asyncio.sleep(jitter(200 * MS))
-                continue
-            job = self.cluster.jobs.get(ref)
-            state = None if found is None else found[0].get("state")
-            if found is not None and state == wire.CANCELLED:
-                self.cluster.cancel_job(ref, found[1], self._helm.clock.known_at)
-                return found[1]
-            if found is not None and state in wire.OVER and job is not None:
-                self.cluster.drop_job(job)
-                if state == wire.DONE:
-                    self.cluster.job_done(ref, int(found[0].get("ended", 0)))
-            return 0
+        found = await self._sure(job_key(ref))
+        job = self.cluster.jobs.get(ref)
+        state = None if found is None else found[0].get("state")
+        if found is not None and state == wire.CANCELLED:
+            self.cluster.cancel_job(ref, found[1], self._helm.clock.known_at)
+            return found[1]
+        if found is not None and state in wire.OVER and job is not None:
+            self.cluster.drop_job(job)
+            self.cluster.over[ref] = found[1]
+            if state == wire.DONE:
+                self.cluster.job_done(ref, int(found[0].get("ended", 0)))
         return 0
+
+
+def _same(found: Any, written: Any) -> bool:
+    """A value as it was written, and as it came back."""
+    return bool(found == written) or wire.dumps(found) == wire.dumps(written)
--- a/oatport/service/helm.py
+++ b/oatport/service/helm.py
@@ -8,6 +8,7 @@
 from oatport.clients.peer import PeerClient
 from oatport.clients.state import StateClient
 from oatport.control.cluster import Cluster
+from oatport.control.ends import End
 from oatport.control.model import Machine
 from oatport.control.recovery import OutageClock
 from oatport.service.tasks import TaskGroup
@@ -25,6 +26,9 @@
 
     def lost_lead(self, why: str) -> None: ...
 
+    async def ended_before(self, token: int) -> list[End] | None:
+        """What earlier leaders took in and may not have recorded; None: no node knows of any of them."""
+
     def nodes_heard(self) -> dict[str, list[int]]:
         """When the other nodes last answered (steady), by zone."""
 
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -16,12 +16,13 @@
 from oatport.clients.worker import WorkerClient
 from oatport.control.backlog import Backlog
 from oatport.control.cluster import Cluster
+from oatport.control.ends import End
 from oatport.control.lists import lies_apart, note_slim
 from oatport.control.mandate import Mandate, Pulse
 from oatport.control.model import Job, Machine
 from oatport.control.placer import Placer
 from oatport.control.predictor import Predictor
-from oatport.control.records import JOBS, MODEL_KEY
+from oatport.control.records import JOBS, MODEL_KEY, job_key
 from oatport.control.recovery import OutageClock, load, read_job, types_recorded
 from oatport.control.repeats import Repeats
 from oatport.service.catalog import read_types
@@ -94,9 +95,12 @@
     async def take_over(self) -> None:
         """Load what is recorded; reports confirm it."""
         asked = steady()  # cancellations told while the records are read may not be among them
-        rows, revision = await read_records(self.state)
+        (rows, revision), ended = await asyncio.gather(read_records(self.state), self.home.ended_before(self.token))
         await self._know_types(types_recorded(rows))
         load(self.cluster, rows, steady(), time_of_day())
+        self.cluster.now = steady()
+        self.cluster.take_ends(ended or [])
+        self.cluster.ends_unknown = ended is None
         if self.windows is not None:
             await self.windows.take_over()
         self._watch_from = revision
@@ -195,7 +199,11 @@
         self.wake()
 
     def _has(self, ref: str) -> bool:
-        return ref in self.cluster.jobs or ref in self.cluster.held_up
+        """It is at work, or its end is recorded, which the watch has not told yet.
+
+        Taken up again from an older change, a job that is over cost the lead: its claims fail on keys that are gone.
+        """
+        return ref in self.cluster.jobs or ref in self.cluster.held_up or ref in self.cluster.over
 
     def _join(self, ref: str, value: Any, revision: int) -> None:
         spec, at, _ = read_job(value)
@@ -242,9 +250,17 @@
                 elif state not in wire.OVER and not self._has(ref):
                     self._join(ref, item["value"], int(item["entryRev"]))
             self._watch_from = max(self._watch_from, revision)
+            for ref in [ref for ref, at in self.cluster.over.items() if at <= self._watch_from]:
+                del self.cluster.over[ref]
             self.clock.known(asked)
             self.wake()
 
+    def take_ends(self, ends: list[End]) -> None:
+        """An earlier leader tells what it did not record."""
+        if self.loaded:
+            self.cluster.take_ends(ends)
+            self.wake()
+
     # --- reports ----------------------------------------------------------------------------
 
     def answering(self) -> bool:
@@ -392,6 +408,8 @@
             for task in self.cluster.unacked:
                 if task.acked is None and task.machine is not None and task.repeat_start_at <= now:
                     self.cluster.to_send.add(task.machine)
+            for ref in list(self.cluster.teams.unknown):
+                self.group.once("stray", self._read_stray(ref))
             if now - recorded_at > 15 * SECOND and self.cluster.predictor.changed:
                 self.cluster.predictor.changed = False
                 self.cluster.dirty[MODEL_KEY] = None
@@ -402,6 +420,15 @@
                 log.info("%s", self.keeper.status(now))
                 log.info("%s", self.cluster.served.line())
 
+    async def _read_stray(self, ref: str) -> None:
+        """Of which team is a task that a machine tells of, and no record? Until that is known none has room."""
+        try:
+            found = await self.state.get(job_key(ref))
+        except (NoAnswer, Refused):
+            return  # asked again with the next tick
+        self.cluster.settle_strays(ref, None if found is None else read_job(found[0])[0])
+        self.wake()
+
     # --- display ----------------------------------------------------------------------------
 
     async def _display_loop(self) -> None:
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -17,6 +17,7 @@
 from oatport.clients.state import Applied, NoLease, StateClient
 from oatport.clients.worker import count_reached
 from oatport.control import formats
+from oatport.control.ends import End
 from oatport.control.records import LEADER_KEY
 from oatport.control.recovery import UnknownType
 from oatport.control.repeats import Repeats
@@ -92,7 +93,8 @@
             ("ping", self._on_ping), ("accepted", self.telling.on_hint), ("cancelled", self.telling.on_hint),
             ("display", self._on_display), ("probe", self._on_probe), ("handover", self._on_handover),
             ("carried out", self.keeping.on_carried_out), ("kept", self.keeping.on_kept), ("explain", self._on_explain),
-            ("formats", self._on_formats), ("told", self.telling.on_told),
+            ("formats", self._on_formats), ("told", self.telling.on_told), ("ends", self.telling.on_ends),
+            ("ended", self.telling.on_ended),
         ):
             inside.on(tag, handler)
         servers = [
@@ -107,6 +109,7 @@
         self.group.keep("catalog", self._catalog_loop)
         self.group.keep("contact", self._contact_loop)
         self.group.keep("told", self.telling.loop)
+        self.group.keep("ends", self.telling.ends_loop)
         for name, client in self.peers.items():
             self.group.keep(f"ping {name}", lambda client=client: self._ping_loop(client))  # type: ignore[misc]
         try:
@@ -159,6 +162,9 @@
         now = steady()
         return not any(served and now - at < 3 * SECOND for served, at in self._peer_served.values())
 
+    async def ended_before(self, token: int) -> list[End] | None:
+        return await self.telling.ended_before(token)
+
     def tell_accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
         self.telling.accepted(ref, record, revision)
 
@@ -294,6 +300,7 @@
         if lead is None:
             return
         log.warning("no longer leading: %s", why)
+        self.telling.deposed(lead)
         lead.close()
         self._stand_back_until = steady() + STAND_BACK
         if self._leader == self.node_name:
--- a/oatport/service/telling.py
+++ b/oatport/service/telling.py
@@ -13,6 +13,7 @@
 from oatport.api.peers import Message
 from oatport.clients.http import NoAnswer, jitter
 from oatport.clients.peer import PeerClient
+from oatport.control import ends
 from oatport.control.cancellations import Cancellations, Told
 from oatport.service.lead import Lead
 from oatport.service.tasks import TaskGroup
@@ -20,6 +21,9 @@
 from oatport.times import MS, micros, steady
 
 ASK_EVERY = 400 * MS
+TELL_ENDS = 300 * MS
+ENDED_WITHIN = 300 * MS  # a takeover waits no longer for what others know
+TELL_LEFT_TRIES = 60  # a deposed leader's, at peers that it doesn't reach
 STALE = 2_500 * MS  # the watch on jobs tells every second, if it tells
 
 
@@ -36,6 +40,7 @@
 class Telling:
     def __init__(self, here: Here, settings: ClusterSettings) -> None:
         self._here = here
+        self.ends = ends.Ends()
         self.cancellations = Cancellations(steady(), 2 * micros(settings.workers.cancel_s))
 
     def accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
@@ -62,6 +67,73 @@
             self._here.lead.told(str(tag), str(ref), value, int(revision))
         return ["ok"]
 
+    # --- ends that are not recorded yet --------------------------------------------------------
+
+    async def on_ends(self, message: Message) -> Message:
+        """["ends", token, rows]: what that leader took in and has not recorded."""
+        _, token, rows = message
+        if type(token) is not int:
+            raise ValueError("not a token")
+        told = ends.parse(rows)
+        self.ends.note(token, told)
+        lead = self._here.lead
+        if lead is not None and token < lead.token:
+            lead.take_ends(told)
+        return ["ok"]
+
+    async def on_ended(self, message: Message) -> Message:
+        """["ended", token]: what did earlier leaders not record, as far as is known here? No list: not known."""
+        if type(message[1]) is not int:
+            raise ValueError("not a token")
+        found = self.ends.before(message[1])
+        return ["ended", None if found is None else found[:ends.ROWS_MOST]]
+
+    async def ends_loop(self) -> None:
+        """As the leader: tell the others of ends until they are recorded, and once that there are none."""
+        told = (0, False)
+        while True:
+            lead = self._here.lead
+            if lead is not None and lead.loaded:
+                rows = lead.cluster.ends_to_tell()
+                if rows or told != (lead.token, False):
+                    for peer in self._here.peers.values():
+                        self._here.group.once("ends", _ask_quietly(peer, "ends", lead.token, rows))
+                told = (lead.token, bool(rows))
+            await asyncio.sleep(jitter(TELL_ENDS))
+
+    def deposed(self, lead: Lead) -> None:
+        """What it leaves unrecorded is told to the others, who may not be reached just now, and to whoever asks."""
+        left = lead.cluster.ends_to_tell()
+        self.ends.note(lead.token, left)
+        if left:
+            for peer in self._here.peers.values():
+                self._here.group.once("ends", self._tell_left(peer, lead.token, left))
+
+    async def _tell_left(self, peer: PeerClient, token: int, left: list[ends.End]) -> None:
+        for _ in range(TELL_LEFT_TRIES):
+            try:
+                await peer.ask("ends", token, left)
+                return
+            except NoAnswer:
+                await asyncio.sleep(jitter(TELL_ENDS))
+
+    async def ended_before(self, token: int) -> list[ends.End] | None:
+        """What earlier leaders took in and did not record, as far as any node knows; None: none knows anything."""
+        answers = await asyncio.gather(
+            *(peer.ask("ended", token, timeout_us=ENDED_WITHIN) for peer in self._here.peers.values()),
+            return_exceptions=True)
+        lists = [self.ends.before(token)]
+        for answer in answers:
+            try:
+                if isinstance(answer, BaseException):
+                    raise answer
+                if answer[0] == "ended" and answer[1] is not None:
+                    lists.append(ends.parse(answer[1]))
+            except (NoAnswer, ValueError, TypeError, IndexError):
+                continue  # away, of an earlier version, or strange: less is known, and nothing else follows
+        known = [found for found in lists if found is not None]
+        return list(dict.fromkeys(end for found in known for end in found)) if known else None
+
     # --- what a leader that can't read is told ---------------------------------------------------
 
     async def on_told(self, message: Message) -> Message:
--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -74,7 +74,8 @@
             await self._gives_way(unheard)
             return
         dark = [m for m in dark_suspects(machines, now, silent_us) if m.zone not in cluster.dark]
-        lost = dark or silent(quiet, now, silent_us)
+        leases_over = self._helm.began + cluster.lease_us
+        lost = dark or [m for m in silent(quiet, now, silent_us) if not cluster.may_still_tell(m, now, leases_over)]
         if not lost or now - self._helm.began < silent_us * (3 if dark else 7) // 10:
             await self._leave_dark(now)
             return
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,6 +13,7 @@
 from oatport.api.peers import Peers
 from oatport.api.workers import handle_report
 from oatport.clients.http import NoAnswer
+from oatport.control.ends import End
 from oatport.control.fleet import Rental
 from oatport.control.records import CATALOG_KEY, LEADER_KEY, Batch
 from oatport.control.recovery import UnknownType, load, types_recorded
@@ -54,6 +55,9 @@
     def lost_lead(self, why: str) -> None:
         self.lost.append(why)
 
+    async def ended_before(self, token: int) -> list[End] | None:
+        return []
+
     def nodes_heard(self) -> dict[str, list[int]]:
         return {}
 
