Guards for returned machines, ends handed on and whole gangs; a gang's end tells of all its tasks

New troubles and meetings: die_at_end, given_up, gangs_end. A task of a job that no record tells of is looked up at once instead of with the next half second.

--- a/oatport/lab/world/breaks.py
+++ b/oatport/lab/world/breaks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from typing import Any
@@ -22,12 +23,14 @@
 from oatport.control.pipelines import Pipelines
 from oatport.control.records import LEADER_KEY
 from oatport.control.recovery import OutageClock
+from oatport.control.sightings import Sightings
 from oatport.control.work import Work
 from oatport.service.chainkeeper import ChainKeeper
 from oatport.service.fleetkeeper import FleetKeeper
 from oatport.service.groupcommit import GroupCommit
 from oatport.service.lead import Lead
 from oatport.service.node import Node
+from oatport.service.telling import Telling
 from oatport.times import steady
 
 
@@ -201,10 +204,44 @@
     return [patch.object(Cancellations, "tell", lambda self, ref, now: True)]
 
 
+def _returned() -> list[Any]:
+    """Machines are returned, or given up, though they alone tell of an end."""
+    return [patch.object(Sightings, "witnesses", lambda self, machine: False),
+            patch.object(Sightings, "hasten", lambda self, machine: None)]
+
+
+def _handed_on() -> list[Any]:
+    """Ends that a leader took in and did not record go with it."""
+
+    async def idle(self: Telling) -> None:
+        await asyncio.Event().wait()
+
+    async def nothing(self: Telling, token: int) -> list[Any]:
+        return []
+
+    return [patch.object(Telling, "ends_loop", idle), patch.object(Telling, "deposed", lambda self, lead: None),
+            patch.object(Telling, "ended_before", nothing)]
+
+
+def _whole() -> list[Any]:
+    """Of a gang that is done, the tasks whose ends were not reported run again."""
+    requeue = Work.requeue
+
+    def again(self: Work, task: Any, **more: Any) -> None:
+        done, task.job.done = task.job.done, set()
+        try:
+            requeue(self, task, **more)
+        finally:
+            task.job.done = done
+
+    return [patch.object(Work, "complete_gang", lambda self, job: None), patch.object(Work, "requeue", again)]
+
+
 GUARDS: dict[str, Callable[[], list[Any]]] = {
     "fencing": _fencing, "write-ahead": _write_ahead, "forget": _forget, "unproven": _unproven,
     "boot": _boot, "early": _early, "orphan": _orphan, "gate": _gate, "size": _size,
     "copies": _copies, "told": _told, "order": _copies, "conditions": _conditions, "ends": _ends,
+    "returned": _returned, "handed-on": _handed_on, "whole": _whole,
 }
 
 
--- a/oatport/lab/world/checker.py
+++ b/oatport/lab/world/checker.py
@@ -44,7 +44,8 @@
     _use: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(lambda: [0.0, 0.0]))
     _done: defaultdict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     _done_on: dict[str, Worker] = field(default_factory=dict)  # task -> where it completed
-    _taken_in: set[str] = field(default_factory=set)  # tasks whose end was reported to a leader that answered
+    # Tasks whose end a leader knows, since it answered the report that told of it: of that task, or of its gang's mate.
+    _taken_in: dict[str, str] = field(default_factory=dict)
     _looks: int = 0
     _at_limit: Counter[str] = field(default_factory=Counter)  # team -> looks at which it was at its limit
 
@@ -101,7 +102,8 @@
         self.counts["starts_after_done"] += 1
         if task not in self._taken_in:
             return
-        fate = self._done_on[task].results_lost.get(task, "")
+        told = self._taken_in[task]
+        fate = self._done_on[told].results_lost.get(told, "")
         if fate in TROUBLES:
             self.counts["results_lost"] += 1
             return
@@ -109,8 +111,15 @@
                                    f"{self._done_on[task].name}{': ' + fate if fate else ''}")
 
     def took_in(self, tasks: list[str]) -> None:
-        """A leader answered a report that told of these ends."""
-        self._taken_in.update(task for task in tasks if task in self._done_on)
+        """A leader answered a report that told of these ends. That of one task of a gang tells of all (PROTOCOL)."""
+        for task in tasks:
+            if task not in self._done_on or self._taken_in.get(task) == task:
+                continue
+            self._taken_in[task] = task
+            ref = task.rsplit("/", 1)[0]
+            if self.asks[ref].body["rig"] == "gang":
+                for mate in self._done[ref]:
+                    self._taken_in.setdefault(mate, task)
 
     def look_at_limits(self) -> None:
         """Which teams are at their limits now: to be called at equal intervals."""
--- a/oatport/lab/world/limits.py
+++ b/oatport/lab/world/limits.py
@@ -73,6 +73,19 @@
         self._lag(at)
         self._lead_changes(at + self.rng.uniform(-1, 3))
 
+    def given_up(self, at: float) -> None:
+        """What ended is not written, its machines are given up meanwhile, and then all nodes end."""
+        self.add("late_writes", at, 9.0, amount=0.9)
+        self.add("machine_hang", at + self.rng.uniform(0.8, 2.0), LEASE_S - 2, count=self.few * 4)
+        self.add("node_crash", at + self.rng.uniform(7.2, 8.5), self.end(), node=ALL)
+
+    def gangs_end(self, at: float) -> None:
+        """Gangs complete, and one of their machines dies in that moment; the leader changes."""
+        self.add("rush", max(1.0, at - 10), 10.0, name="train", amount=self.rng.uniform(10, 25))
+        self.add("die_at_end", max(2.0, at - 6), 40.0, amount=0.5)
+        self._lag(at)
+        self._lead_changes(at + self.rng.uniform(1, 12))
+
     def away(self, at: float) -> None:
         """All controllers are away for longer than a lease, or the state service is, with jobs cancelled before."""
         self.add("cancel_now", at - self.rng.uniform(0, 3), count=self.few * 4,
@@ -91,7 +104,7 @@
     """All teams at their limits, and three rounds of what meets there."""
     plan = Limits(seed, nodes, machines, zones, for_s)
     rng = plan.rng
-    meetings = (plan.cancelled, plan.ended, plan.new_machines, plan.away)
+    meetings = (plan.cancelled, plan.ended, plan.new_machines, plan.away, plan.given_up, plan.gangs_end)
     at = rng.uniform(18, 28)
     for turn in range(3):
         meetings[(seed + turn) % len(meetings)](at)
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -44,6 +44,7 @@
     # So many, that share, or a zone: their reports reach no node, while direct commands reach them.
     "machine_mute": ("count", "amount", "zone"),
     "cancel_now": ("count", "amount"),  # so many that run, at once; some of their machines hang so long
+    "die_at_end": ("amount",),  # of that share of gangs that complete a machine dies in that moment
     "quick_boots": (),  # new machines are up within two seconds
     "late_repeats": ("amount",),  # requests that were carried out arrive once more, up to so many seconds later
 }
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -14,6 +14,7 @@
 from oatport.lab.world.plan import ALL, LEADER, Fault, Plan
 from oatport.lab.world.state import KeyStore, StateService, leader_of
 from oatport.lab.world.users import Ask, User
+from oatport.lab.world.worker import Gangs, Worker
 from oatport.settings import ClusterSettings
 from oatport.times import SECOND, micros
 
@@ -36,6 +37,7 @@
     hosts: dict[str, Host]
     machines: dict[str, MachineHost]
     people: Host
+    gangs: Gangs
     users: dict[str, User]
     new: set[str]
     settings: ClusterSettings
@@ -160,8 +162,27 @@
 
     def _on_machine_die(self, fault: Fault) -> None:
         for machine in self._some(fault.count):
-            name = machine.host.name
-            self.machines.pop(name).end("died")
+            self._die(machine.host.name)
+
+    def _on_die_at_end(self, fault: Fault) -> Callable[[], None]:
+        """A gang has completed, and a machine of it dies before it can tell."""
+        before = self.gangs.on_done
+
+        def done(mates: list[Worker]) -> None:
+            name = self._rng.choice(mates).name
+            if self._rng.random() < fault.amount and name in self.machines:
+                self.loop.later(0, None, self._die, name)
+
+        def end() -> None:
+            self.gangs.on_done = before
+
+        self.gangs.on_done = done
+        return end
+
+    def _die(self, name: str) -> None:
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            machine.end("died")
             self.loop.later(FAILED_AFTER, None, self._failed, name)
 
     def _failed(self, name: str) -> None:
--- a/oatport/lab/world/worker.py
+++ b/oatport/lab/world/worker.py
@@ -40,6 +40,7 @@
         self.members: dict[tuple[str, int], dict[str, tuple[Worker, Held]]] = {}
         self.broken: dict[tuple[str, int], int] = {}  # since when a task of the attempt is gone
         self.first_image: dict[tuple[str, int], int] = {}
+        self.on_done: Callable[[list[Worker]], None] = lambda mates: None  # one is done; where the others are
         self.stopped: set[tuple[str, int]] = set()  # attempts of which a task was told to stop: no progress since
 
     def join(self, task: str, attempt: int, worker: Worker, held: Held) -> None:
@@ -61,9 +62,12 @@
         there.pop(task, None)
         if done:
             # They complete together: if one is done, all are.
+            mates = [worker for worker, held in there.values() if held.status != "ended"]
             for mate, (worker, held) in list(there.items()):
                 if held.status != "ended":
                     worker.complete((mate, attempt), held)
+            if mates:
+                self.on_done(mates)
         else:
             self.broken.setdefault(key, now)
             for worker, _ in there.values():
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -89,6 +89,7 @@
         self._commanded = 0  # requests to workers since the last tick
         self._early: list[tuple[str, str, Any, int]] = []  # told before the records were loaded
         self._watch_from = 0
+        self._reading: set[str] = set()  # ids of jobs that are looked up
 
     # --- lifecycle --------------------------------------------------------------------------
 
@@ -309,6 +310,8 @@
 
     def heard(self, report: wire.Report, now: int) -> Machine | None:
         machine = self.cluster.on_report(report, now, time_of_day())
+        if self.cluster.teams.unknown:
+            self._read_strays()
         self.wake()
         return machine
 
@@ -408,8 +411,7 @@
             for task in self.cluster.unacked:
                 if task.acked is None and task.machine is not None and task.repeat_start_at <= now:
                     self.cluster.to_send.add(task.machine)
-            for ref in list(self.cluster.teams.unknown):
-                self.group.once("stray", self._read_stray(ref))
+            self._read_strays()
             if now - recorded_at > 15 * SECOND and self.cluster.predictor.changed:
                 self.cluster.predictor.changed = False
                 self.cluster.dirty[MODEL_KEY] = None
@@ -420,12 +422,19 @@
                 log.info("%s", self.keeper.status(now))
                 log.info("%s", self.cluster.served.line())
 
+    def _read_strays(self) -> None:
+        """Of which teams are tasks that machines tell of, and no record? Until that is known none has room."""
+        for ref in self.cluster.teams.unknown.keys() - self._reading:
+            self._reading.add(ref)
+            self.group.once("stray", self._read_stray(ref))
+
     async def _read_stray(self, ref: str) -> None:
-        """Of which team is a task that a machine tells of, and no record? Until that is known none has room."""
         try:
-            found = await self.state.get(job_key(ref))
+            found = await self.state.get(job_key(ref)) if wire.valid_ref(ref) else None
         except (NoAnswer, Refused):
             return  # asked again with the next tick
+        finally:
+            self._reading.discard(ref)
         self.cluster.settle_strays(ref, None if found is None else read_job(found[0])[0])
         self.wake()
 
