--- a/oatport/control/cluster.py
+++ b/oatport/control/cluster.py
@@ -162,7 +162,9 @@
         if machine is None:
             return None
         if (report.session, report.seq) <= (machine.session, machine.seq):
-            return machine  # an older message that came late
+            self.now = now
+            self.take_old_ends(machine, report)
+            return machine  # an older message that came late: of all the rest it tells nothing
         new_session = report.session != machine.session
         if now - machine.heard_at > self.fresh_us:
             self.replan = True  # its free room counts again
--- a/oatport/control/sightings.py
+++ b/oatport/control/sightings.py
@@ -96,6 +96,18 @@
             if not job.pending:
                 self.waiting.discard(job)
 
+    def take_old_ends(self, machine: Machine, report: wire.Report) -> None:
+        """That an attempt was done is true in a message of any age.
+
+        The sessions of a machine that was back within a blink began anew: what it told after an old copy had come was
+        taken for older, and answered all the same.
+        """
+        done = {(row.task, row.attempt) for row in report.tasks
+                if row.status == wire.EXITED and row.why == wire.WHY_DONE}
+        for task in [task for task in machine.tasks if (task.name, task.attempt) in done] if done else ():
+            if task.phase is Phase.PLACED and task.job.kind is not Kind.SERVICE:
+                self.finish_task(task, self.now, measured=False)
+
     def may_still_tell(self, machine: Machine, now: int, until: int) -> bool:
         """A silent machine that may come back and tell of ends that nobody else knows any more.
 
--- a/oatport/lab/world/checker.py
+++ b/oatport/lab/world/checker.py
@@ -35,6 +35,7 @@
     violations: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     on_first: Callable[[], None] = lambda: None  # a rule breaks for the first time
+    on_news: Callable[[Ask], None] = lambda ask: None  # its user was told for the first time: accepted, done, cancelled
     on_completed: Callable[[Ask], None] = lambda ask: None  # all tasks of a job have ended
     troubled_until: float = 0.0  # when the last trouble ends
     forgotten_most: float = 0.0  # the longest that no question about a job was answered, after all troubles
@@ -207,11 +208,16 @@
                 self.break_of("went_back", f"{ask.ref} is called cancelled, and nobody cancelled it")
             if ask.cancelled_at is None:
                 ask.cancelled_at = now
+                self.on_news(ask)
                 self.loop.later(round(self.settings.workers.cancel_s * SECOND) + 1000, None, self.cancel_due, ask)
         if state == "done":
             if ask.completed_at is None:
                 self.break_of("not_done", f"{ask.ref} is called done after {ask.completed} of {ask.body['legs']} tasks")
-            ask.done_at = ask.done_at or now
+            if ask.done_at is None:
+                ask.done_at = now
+                self.on_news(ask)
+        elif status == 201 and state == "queued":
+            self.on_news(ask)
 
     def _fallen_since(self, ask: Ask) -> float | None:
         """Since when a user knows that a job before it is cancelled; None: nobody was told so."""
@@ -239,6 +245,12 @@
             self.break_of("forgotten", f"no question about {ask.ref} was answered for {quiet:.0f} s")
             ask.answered_at = now
 
+    def odd(self, body: dict[str, Any], status: int, right: tuple[int, ...]) -> None:
+        """A job that can't run, or lacks a field, and what was answered."""
+        self.counts["odd_requests"] += 1
+        if status and status not in (*right, 413, 429, 503):
+            self.break_of("accepted_wrongly", f"{body['ref']} was answered {status}, not {right[0]}")
+
     def stranger(self, ref: str, status: int) -> None:
         """A poll for a job that nobody submitted."""
         if status == 200:
--- a/oatport/lab/world/deployment.py
+++ b/oatport/lab/world/deployment.py
@@ -108,13 +108,19 @@
             times = max([f.amount for f in rushes if 0 <= JOBS_FROM_S + at - f.at_s < f.for_s], default=1.0)
             if rng.random() * most < times:
                 asks.append(Ask(_job(rng, name, plan), begins + at))
+    for fault in plan.faults:
+        if fault.kind == "singles":
+            count = round(fault.amount * fault.for_s)
+            asks += [Ask(_job(rng, "local", plan) | {"legs": 1, "cores": 1.0, "voyageS": rng.uniform(1, 8)},
+                         begins + fault.at_s - JOBS_FROM_S + rng.uniform(0, fault.for_s)) for _ in range(count)]
     asks += [Ask(_job(rng, "serve", plan), begins + rng.uniform(0, 1))
              for _ in range(round(SERVICES_AT_START * plan.machines))]
     asks.sort(key=lambda ask: ask.at)
     for number, ask in enumerate(asks):
         ask.body["ref"] = f"j-{number + 1:06d}"
         ask.mistaken = ask.body["rig"] != "standing" and rng.random() < 0.04
-        if ask.mistaken or rng.random() < 0.12:
+        single = ask.body["rig"] == "array" and ask.body["legs"] == 1
+        if ask.mistaken or rng.random() < (0.25 if single else 0.12):
             ask.cancel_at = ask.at + rng.uniform(2, 50)
     return asks
 
--- a/oatport/lab/world/meetings.py
+++ b/oatport/lab/world/meetings.py
@@ -203,9 +203,63 @@
             self.add("state_down", at + self.rng.uniform(2, 12), self.rng.uniform(2, 20))
 
 
+    def close_looks(self) -> None:
+        """Users ask at all nodes, and repeat, right after each news; among slow answers and changes of the leader."""
+        at = self.moment(60)
+        self.add("close_looks", 6.0, self.for_s - 30)
+        self.add("odd_requests", 8.0, self.for_s - 40)
+        self.cancels(at, 10.0)
+        self.add("cancel_at_end", max(6.0, at - 15), 40.0)
+        for kind, amount in self.rng.sample(
+                [("state_slow", 0.5), ("lost_answers", 0.4), ("late_writes", 0.4), ("node_refused", 0.0),
+                 ("node_crash", 0.0), ("peers_refuse", 0.0)], 3):
+            when = at + self.rng.uniform(-6, 6)
+            if kind == "node_crash":
+                self.add(kind, when, self.end(), node=self.node())
+            elif kind == "node_refused":
+                self.add(kind, when, self.rng.uniform(0.5, 8), node=self.node())
+            elif kind == "peers_refuse":
+                self.add(kind, when, self.rng.uniform(2, 12))
+            else:
+                self.add(kind, when, self.rng.uniform(3, 12), amount=amount)
+
+    def answers_lost(self) -> None:
+        """Transactions are carried out at once and only their answers lost, while others read what was written."""
+        at = self.moment(50)
+        self.add("lost_answers", at, self.rng.uniform(4, 20), amount=self.rng.choice([0.3, 0.7, 1.0]))
+        self.add("close_looks", max(6.0, at - 8), 40.0)
+        self.add("rush", max(1.0, at - 2), 8.0, name=self.rng.choice(["local", "batch"]),
+                 amount=self.rng.uniform(4, 12))
+        self.cancels(at + 0.5, 8.0)
+        self.add("cancel_at_end", at, 20.0)
+        if self.rng.random() < 0.6:
+            self.add("node_crash", at + self.rng.uniform(0.5, 12), self.end(), node=self.node())
+
+    def hands_change(self) -> None:
+        """Jobs are cancelled in the seconds in which one controller's work changes hands."""
+        for at in self._rounds():
+            self.add("rush", max(1.0, at - 4), 4.0, name=self.rng.choice(["local", "batch", "train"]),
+                     amount=self.rng.uniform(5, 15))
+            away = self.end()
+            self.add("node_crash", at, away)
+            self.cancels(at - self.rng.uniform(0.2, 1.0), 1.0 + self.rng.uniform(1, 5), 6)
+            if self.rng.random() < 0.4:
+                self.add("links_slow", at - 1, 4.0, source="node", target=self.rng.choice(["worker", "state", "node"]),
+                         amount=self.rng.uniform(0.1, 0.5))
+
+    def singles_swarm(self) -> None:
+        """One-task jobs come four a second for long, a quarter of them cancelled."""
+        at = self.rng.uniform(8, 20)
+        self.add("singles", at, 60.0, amount=4.0)
+        self.add("node_crash", at + self.rng.uniform(10, 50), self.end(), node=self.node())
+        if self.rng.random() < 0.5:
+            self.add("late_writes", at + self.rng.uniform(5, 50), 5.0, amount=0.3)
+
+
 MEETINGS = (
     Meeting.slow_state, Meeting.ends_far_apart, Meeting.back_and_forth, Meeting.old_reports, Meeting.leader_alone,
-    Meeting.held_commands, Meeting.unreached_machines, Meeting.late_transactions,
+    Meeting.held_commands, Meeting.unreached_machines, Meeting.late_transactions, Meeting.close_looks,
+    Meeting.answers_lost, Meeting.hands_change, Meeting.singles_swarm,
 )
 
 
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -45,6 +45,9 @@
     "machine_mute": ("count", "amount", "zone"),
     "cancel_now": ("count", "amount"),  # so many that run, at once; some of their machines hang so long
     "die_at_end": ("amount",),  # of that share of gangs that complete a machine dies in that moment
+    "close_looks": (),  # users ask at all nodes as soon as a job is accepted, ended or cancelled; some cancel at once
+    "odd_requests": (),  # old submissions again, cancellations of what is done, jobs that can't run or lack a field
+    "singles": ("amount",),  # so many jobs of one task a second, a quarter of them cancelled
     "quick_boots": (),  # new machines are up within two seconds
     "late_repeats": ("amount",),  # requests that were carried out arrive once more, up to so many seconds later
 }
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -270,6 +271,9 @@
     def _on_rush(self, fault: Fault) -> None:
         """It is in the jobs that were drawn."""
 
+    def _on_singles(self, fault: Fault) -> None:
+        """So are these."""
+
     def _on_users_cancel(self, fault: Fault) -> None:
         now = self.loop.time()
         asks = [ask for ask in self.checker.asks.values()
@@ -294,6 +298,54 @@
             names = dict.fromkeys(running[ask.ref].name for ask in asks)
             self._hang([self.machines[name] for name in list(names)[:HANG_MOST] if name in self.machines], fault.amount)
 
+    # --- users who look closely, and odd requests ---------------------------------------------------
+
+    def _binds(self) -> list[str]:
+        return [bind for bind, _ in deployment.node_addresses(self.plan).values()]
+
+    def _on_close_looks(self, fault: Fault) -> Callable[[], None]:
+        def news(ask: Ask) -> None:
+            user = self.users[ask.ref]
+            self.loop.later(self._rng.randrange(5_000), None, lambda: self.loop.create_task(
+                user.look(self._binds(), self._rng.random() < 0.1), context=self.people.context))
+
+        def end() -> None:
+            self.checker.on_news = lambda ask: None
+
+        self.checker.on_news = news
+        return end
+
+    def _on_odd_requests(self, fault: Fault) -> Callable[[], None]:
+        ends_at = self.loop.time() + fault.for_s
+
+        async def ask_oddly() -> None:
+            number = 0
+            while self.loop.time() < ends_at:
+                await asyncio.sleep(self._rng.uniform(0.1, 0.5))
+                number += 1
+                asks = [ask for ask in self.checker.asks.values() if ask.accepted_at is not None]
+                if asks:
+                    await self._ask_oddly(self._rng.choice(asks), f"j-{950_000 + number:06d}")
+
+        self.loop.create_task(ask_oddly(), context=self.people.context)
+        return lambda: None
+
+    async def _ask_oddly(self, ask: Ask, ref: str) -> None:
+        kind, user = self._rng.randrange(4), self.users[ask.ref]
+        if kind == 0:
+            await user.repeat()
+        elif kind == 1:
+            if ask.done_at is not None:
+                await user.cancel()
+        else:
+            body = {**ask.body, "ref": ref}
+            if kind == 2:
+                body["cores"] = 10_000.0
+            else:
+                del body[self._rng.choice(["cargo", "crew", "rig", "legs", "cores", "hull"])]
+            status = await user.submit_other(body)
+            self.checker.odd(body, status, (422,) if kind == 2 else (400,))
+
     # --- pipelines and upgrades ---------------------------------------------------------------
 
     def _needed(self) -> list[Ask]:
--- a/oatport/lab/world/users.py
+++ b/oatport/lab/world/users.py
@@ -65,6 +65,12 @@
         elif not seen.healthy and good and (not seen.ever or (seen.good >= 2 and now >= seen.bad_until)):
             seen.healthy = seen.ever = True
 
+    async def ask_at(
+        self, user: Host, address: str, method: str, path: str, body: Any, timeout_us: int
+    ) -> tuple[int, Any]:
+        """As if this node had been chosen. Raises NoAnswer."""
+        return await self._net.request(user, address, method, path, body, timeout_us, "")
+
     async def ask(self, user: Host, method: str, path: str, body: Any, timeout_us: int) -> tuple[int, Any]:
         """One request on a connection of its own. Raises NoAnswer."""
         tried: list[Seen] = []
@@ -157,8 +163,36 @@
         path = f"{wire.SUBMISSIONS}/{self.ask.ref}/cancel"
         return await self._until("cancel", "POST", path, None, (200,), ())
 
+    async def look(self, addresses: list[str], cancels: bool) -> None:
+        """Ask at all nodes, again and again, and repeat the submission; or cancel at once, and ask then."""
+        if cancels and self.ask.cancel_at is None and self.ask.done_at is None:
+            self.ask.cancel_at = self._host.loop.time()
+            if not await self.cancel():
+                return
+        for address in self._rng.sample(addresses, len(addresses)) * 2:
+            repeats = self._rng.random() < 0.3 and self.ask.cancelled_at is None
+            method, path = ("POST", wire.SUBMISSIONS) if repeats else ("GET", f"{wire.SUBMISSIONS}/{self.ask.ref}")
+            async with self._one:
+                try:
+                    status, value = await self._balancer.ask_at(
+                        self._host, address, method, path, self.ask.body if repeats else None, POLL_WITHIN)
+                except NoAnswer:
+                    status, value = 0, None
+                self._told(self.ask, "submit" if repeats else "poll", status, value)
+
     def _again(self) -> None:
-        self._host.loop.create_task(self._once("submit", "POST", wire.SUBMISSIONS, self.ask.body, SUBMIT_WITHIN))
+        self._host.loop.create_task(self.repeat())
+
+    async def repeat(self) -> None:
+        """The submission once more, whatever has become of the job."""
+        await self._once("submit", "POST", wire.SUBMISSIONS, self.ask.body, SUBMIT_WITHIN)
+
+    async def submit_other(self, body: dict[str, Any]) -> int:
+        """Another job, once; the status, 0 if there is no answer."""
+        try:
+            return (await self._balancer.ask(self._host, "POST", wire.SUBMISSIONS, body, SUBMIT_WITHIN))[0]
+        except NoAnswer:
+            return 0
 
     async def _once(self, what: str, method: str, path: str, body: Any, within: int) -> tuple[int, Any]:
         async with self._one:
