--- a/oatport/lab/world/breaks.py
+++ b/oatport/lab/world/breaks.py
@@ -31,7 +31,7 @@
 from oatport.service.lead import Lead
 from oatport.service.node import Node
 from oatport.service.telling import Telling
-from oatport.times import steady
+from oatport.times import SECOND, steady
 
 
 def _fencing() -> list[Any]:
@@ -237,11 +237,36 @@
     return [patch.object(Work, "complete_gang", lambda self, job: None), patch.object(Work, "requeue", again)]
 
 
+def _asked() -> list[Any]:
+    """Questions about jobs are answered by what was last heard of them."""
+    refresh = JobView._refresh
+
+    async def once(self: JobView) -> None:
+        if not self._revision or steady() - self._asked_at > SECOND:
+            await refresh(self)
+
+    return [patch.object(JobView, "_refresh", once)]
+
+
+def _one_key() -> list[Any]:
+    """An unsure commit counts as applied once one of its keys looks like it; its claims go out."""
+
+    async def first(self: GroupCommit, batch: Any) -> bool:
+        key = next(iter(batch.sets), None) or batch.drops[0]
+        found = await self._sure(key)
+        if key in batch.sets and (found is None or found[0] != batch.sets[key]):
+            return False
+        self.cluster.committed(batch, found[1] if found else 0, steady())
+        return True
+
+    return [patch.object(GroupCommit, "_was_applied", first)]
+
+
 GUARDS: dict[str, Callable[[], list[Any]]] = {
     "fencing": _fencing, "write-ahead": _write_ahead, "forget": _forget, "unproven": _unproven,
     "boot": _boot, "early": _early, "orphan": _orphan, "gate": _gate, "size": _size,
     "copies": _copies, "told": _told, "order": _copies, "conditions": _conditions, "ends": _ends,
-    "returned": _returned, "handed-on": _handed_on, "whole": _whole,
+    "returned": _returned, "handed-on": _handed_on, "whole": _whole, "asked": _asked, "one-key": _one_key,
 }
 
 
--- a/oatport/lab/world/meetings.py
+++ b/oatport/lab/world/meetings.py
@@ -256,10 +256,66 @@
             self.add("late_writes", at + self.rng.uniform(5, 50), 5.0, amount=0.3)
 
 
+    def bound_to_zones(self) -> None:
+        """Jobs bound to one zone, arrays too, lose machines; so does the zone."""
+        at = self.moment(60)
+        for name in ("local", "train"):
+            self.add("rush", max(1.0, at - 10), 25.0, name=name, amount=self.rng.uniform(4, 10))
+        for _ in range(self.rng.randint(2, 4)):
+            kind = self.rng.choice(["machine_die", "machines_taken", "machine_hang", "machine_cut", "machine_mute"])
+            when = at + self.rng.uniform(-3, 15)
+            self.add(kind, when, LEASE_S * self.rng.uniform(0.4, 1.5), count=self.few * 3)
+        if self.rng.random() < 0.6:
+            self.add("node_crash", at + self.rng.uniform(0, 12), self.end(), node=self.node())
+
+    def zone_away(self) -> None:
+        """A zone with workers and a controller is cut off for longer than a lease; jobs are cancelled meanwhile."""
+        at, long = self.rng.uniform(12, 30), LEASE_S * self.rng.uniform(1.1, 4.2)
+        self.add("zone_cut", at, long, zone=self.rng.choice(self.zones), mode=self.rng.choice(["hold", "lost"]))
+        self.cancels(at + self.rng.uniform(-1, 4), 6.0)
+        self.cancels(at + long * 0.7, long * 0.5, 2)
+        if self.rng.random() < 0.5:
+            self.add("node_crash", at + self.rng.uniform(0, long), self.end(), node=self.node())
+
+    def at_the_last_task(self) -> None:
+        """A cancellation, a question or a repeated submission meets the end of a job's last task, and nothing else."""
+        self.add("cancel_at_end", 6.0, self.for_s - 20, amount=self.rng.choice([0.2, 0.6]))
+        self.add("close_looks", 6.0, self.for_s - 20)
+        self.add("odd_requests", 6.0, self.for_s - 20)
+
+    def many_leaders(self) -> None:
+        """Leaders change ten times in two minutes, also inside an outage."""
+        at = self.rng.uniform(10, 14)
+        for _ in range(10):
+            if self.rng.random() < 0.6:
+                self.add("node_crash", at, self.end())
+            else:
+                self.add("node_refused", at, self.rng.uniform(2.2, 6))
+            at += self.rng.uniform(3.5, 7.5)
+        if self.rng.random() < 0.6:
+            self.add("state_down", self.rng.uniform(15, 50), self.rng.uniform(5, LEASE_S + 8))
+        self.cancels(self.rng.uniform(15, 60), 10.0)
+        if self.rng.random() < 0.5:
+            self.add("copies_for_next", 10.0, 60.0, amount=0.3)
+
+    def no_room(self) -> None:
+        """More work than room, urgent and not, over slow links."""
+        at = self.moment(60)
+        for name in ("batch", "guest", "train", "serve"):
+            self.add("rush", max(1.0, at - 8), 25.0, name=name, amount=self.rng.uniform(3, 8))
+        self.add("no_capacity", at - 6, 40.0)
+        for target in self.rng.sample(["worker", "state", "node"], 2):
+            self.add("links_slow", at, self.rng.uniform(8, 25), source="node", target=target,
+                     amount=self.rng.uniform(0.05, 0.5))
+        if self.rng.random() < 0.5:
+            self.add("node_crash", at + self.rng.uniform(0, 15), self.end(), node=self.node())
+
+
 MEETINGS = (
     Meeting.slow_state, Meeting.ends_far_apart, Meeting.back_and_forth, Meeting.old_reports, Meeting.leader_alone,
     Meeting.held_commands, Meeting.unreached_machines, Meeting.late_transactions, Meeting.close_looks,
-    Meeting.answers_lost, Meeting.hands_change, Meeting.singles_swarm,
+    Meeting.answers_lost, Meeting.hands_change, Meeting.singles_swarm, Meeting.bound_to_zones, Meeting.zone_away,
+    Meeting.at_the_last_task, Meeting.many_leaders, Meeting.no_room,
 )
 
 
--- a/oatport/lab/world/plan.py
+++ b/oatport/lab/world/plan.py
@@ -29,7 +29,8 @@
     "no_capacity": (),
     "rush": ("name", "amount"),  # jobs of a class so many times as often
     "users_cancel": ("count", "amount"),  # so many users of unfinished jobs, within so many seconds; 0: as they poll
-    "cancel_at_end": (),  # users of jobs that others need cancel them when their last task has just ended
+    # Users cancel when the last task has just ended: of that share of all jobs; 0: mostly of those that others need.
+    "cancel_at_end": ("amount",),
     "cancel_needed": ("count",),  # users of so many jobs that others need
     "upgrade": ("count", "amount"),  # nodes get the new version: so many at a time, every so many seconds
     "state_limits": (),  # the state service's next limits hold from now on
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -369,9 +369,12 @@
         needed = {ask.ref for ask in self._needed()}
 
         def completed(ask: Ask) -> None:
-            if ask.ref in needed and ask.cancel_at is None and self._rng.random() < 0.7:
+            chance = fault.amount or (0.7 if ask.ref in needed else 0.0)
+            if chance and ask.cancel_at is None and ask.accepted_at is not None and self._rng.random() < chance:
                 ask.cancel_at = self.loop.time()
-                self._cancel_at_once(ask)
+                # Around when the end is reported and written.
+                delay = self._rng.randrange(400_000) if fault.amount else 0
+                self.loop.later(delay, None, self._cancel_at_once, ask)
 
         def end() -> None:
             self.checker.on_completed = before
