A leader that can't be asked may know of ends: machines never heard of have their lease

The last leader was cut off from the state service and from the others, and still reported to; its successor gave machines up whose ends it alone knew. Ends that other nodes know count whether that is all or not.

--- a/oatport/clients/peer.py
+++ b/oatport/clients/peer.py
@@ -11,6 +11,10 @@
 DEADLINE = 800 * MS
 
 
+class NotUnderstood(NoAnswer):
+    """It answered, and not what was asked: an earlier version, for one."""
+
+
 class PeerClient:
     def __init__(self, net: Connector, name: str, address: str) -> None:
         self.name = name
@@ -20,5 +24,5 @@
         """Send ("tag", ...) and return the answer, another such tuple."""
         status, value = await self._http.request("POST", wire.PEER, list(message), timeout_us=timeout_us)
         if status != 200 or not isinstance(value, list) or not value:
-            raise NoAnswer(f"status {status}")
+            raise NotUnderstood(f"status {status}")
         return value
--- a/oatport/control/sightings.py
+++ b/oatport/control/sightings.py
@@ -111,7 +111,8 @@
     def may_still_tell(self, machine: Machine, now: int, until: int) -> bool:
         """A silent machine that may come back and tell of ends that nobody else knows any more.
 
-        All nodes ended in an outage, and with them what had been reported and not recorded. `until` (steady): by then
+        All nodes ended in an outage, and with them what had been reported and not recorded; or the last leader was cut
+        off from the others as well as from the state service, and was still reported to. `until` (steady): by then
         the leases have ended that an earlier leader gave, and with them what the machine could tell.
         """
         return self.ends_unknown and now < until and not machine.heard_at and any(
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -76,7 +76,7 @@
         self.repeats: Repeats = {}
         self.on_measured: Callable[[Job, int], None] = lambda job, took: None  # a task's run time was seen
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
-        self.ends_unknown = False  # no node knows which ends earlier leaders took in and did not record
+        self.ends_unknown = False  # earlier leaders may have taken in ends that nobody tells of now
         self.unwritten_ends: dict[tuple[Job, int], int] = {}  # tasks that are done, and the attempt: maybe in no record
 
     def dark_value(self) -> dict[str, Any]:
--- a/oatport/lab/world/breaks.py
+++ b/oatport/lab/world/breaks.py
@@ -216,8 +216,8 @@
     async def idle(self: Telling) -> None:
         await asyncio.Event().wait()
 
-    async def nothing(self: Telling, token: int) -> list[Any]:
-        return []
+    async def nothing(self: Telling, token: int) -> tuple[list[Any], bool]:
+        return [], True
 
     return [patch.object(Telling, "ends_loop", idle), patch.object(Telling, "deposed", lambda self, lead: None),
             patch.object(Telling, "ended_before", nothing)]
--- a/oatport/service/helm.py
+++ b/oatport/service/helm.py
@@ -26,8 +26,8 @@
 
     def lost_lead(self, why: str) -> None: ...
 
-    async def ended_before(self, token: int) -> list[End] | None:
-        """What earlier leaders took in and may not have recorded; None: no node knows of any of them."""
+    async def ended_before(self, token: int) -> tuple[list[End], bool]:
+        """What earlier leaders took in and may not have recorded; and whether that may be all."""
 
     def nodes_heard(self) -> dict[str, list[int]]:
         """When the other nodes last answered (steady), by zone."""
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -96,12 +96,13 @@
     async def take_over(self) -> None:
         """Load what is recorded; reports confirm it."""
         asked = steady()  # cancellations told while the records are read may not be among them
-        (rows, revision), ended = await asyncio.gather(read_records(self.state), self.home.ended_before(self.token))
+        (rows, revision), (ended, complete) = await asyncio.gather(
+            read_records(self.state), self.home.ended_before(self.token))
         await self._know_types(types_recorded(rows))
         load(self.cluster, rows, steady(), time_of_day())
         self.cluster.now = steady()
-        self.cluster.take_ends(ended or [])
-        self.cluster.ends_unknown = ended is None
+        self.cluster.take_ends(ended)
+        self.cluster.ends_unknown = not complete
         if self.windows is not None:
             await self.windows.take_over()
         self._watch_from = revision
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -68,6 +68,7 @@
         self.started = steady()
         self._leader: str | None = None
         self._leader_token = 0
+        self.last_leader = ""
         self._lease_us = tuning.us("leader_lease_s")
         self._stand_back_until = 0
         self._take_from = 0  # token of a leader that handed over to this node
@@ -162,7 +163,7 @@
         now = steady()
         return not any(served and now - at < 3 * SECOND for served, at in self._peer_served.values())
 
-    async def ended_before(self, token: int) -> list[End] | None:
+    async def ended_before(self, token: int) -> tuple[list[End], bool]:
         return await self.telling.ended_before(token)
 
     def tell_accepted(self, ref: str, record: dict[str, Any], revision: int) -> None:
@@ -189,6 +190,7 @@
     def _learn_leader(self, name: str | None, token: int) -> None:
         if token > self._leader_token:
             self._leader, self._leader_token = name, token
+            self.last_leader = self.last_leader if name in (None, self.node_name) else str(name)
             if self.lead is not None and token > self.lead.token:
                 self.lost_lead(f"{name} leads with token {token}")
 
--- a/oatport/service/telling.py
+++ b/oatport/service/telling.py
@@ -11,8 +11,8 @@
 from typing import Any, Protocol
 
 from oatport.api.peers import Message
-from oatport.clients.http import NoAnswer, jitter
-from oatport.clients.peer import PeerClient
+from oatport.clients.http import NoAnswer, NotSent, jitter
+from oatport.clients.peer import NotUnderstood, PeerClient
 from oatport.control import ends
 from oatport.control.cancellations import Cancellations, Told
 from oatport.service.lead import Lead
@@ -33,6 +33,7 @@
     lead: Lead | None
     peers: dict[str, PeerClient]
     group: TaskGroup
+    last_leader: str  # the last one known beside this node; "": none is
 
     def leading_peer(self) -> PeerClient | None: ...
 
@@ -117,13 +118,20 @@
             except NoAnswer:
                 await asyncio.sleep(jitter(TELL_ENDS))
 
-    async def ended_before(self, token: int) -> list[ends.End] | None:
-        """What earlier leaders took in and did not record, as far as any node knows; None: none knows anything."""
+    async def ended_before(self, token: int) -> tuple[list[ends.End], bool]:
+        """What earlier leaders took in and did not record, as far as any node knows; and whether that may be all.
+
+        Not if no node knows anything, or the last leader may know more and can't be asked, since it is cut off or
+        stands still. One whose process ended knows nothing any more.
+        """
         answers = await asyncio.gather(
             *(peer.ask("ended", token, timeout_us=ENDED_WITHIN) for peer in self._here.peers.values()),
             return_exceptions=True)
-        lists = [self.ends.before(token)]
-        for answer in answers:
+        lists, complete = [self.ends.before(token)], True
+        for name, answer in zip(self._here.peers, answers, strict=True):
+            if isinstance(answer, NoAnswer) and not isinstance(answer, NotSent | NotUnderstood) and (
+                    name == (self._here.last_leader or name)):
+                complete = False
             try:
                 if isinstance(answer, BaseException):
                     raise answer
@@ -132,7 +140,7 @@
             except (NoAnswer, ValueError, TypeError, IndexError):
                 continue  # away, of an earlier version, or strange: less is known, and nothing else follows
         known = [found for found in lists if found is not None]
-        return list(dict.fromkeys(end for found in known for end in found)) if known else None
+        return list(dict.fromkeys(end for found in known for end in found)), complete and bool(known)
 
     # --- what a leader that can't read is told ---------------------------------------------------
 
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,52 @@
+"""The users' meetings of troubles on real nodes (docs/meetings.md), and that the checker would notice."""
+
+from __future__ import annotations
+
+from unittest.mock import patch
+
+import pytest
+
+from oatport.api.users import Users
+from oatport.lab.world.meetings import MEETINGS, meetings
+from oatport.lab.world.plan import Fault, Plan
+from oatport.lab.world.rehearse import Asked, play
+
+TURN = len(MEETINGS)
+NAMES = [make.__name__ for make in MEETINGS]
+
+
+def _seed(name: str, turn: int = 1) -> int:
+    return NAMES.index(name) + turn * TURN
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_two_troubles_at_once_break_no_rule(name: str) -> None:
+    seed = _seed(name)
+    found = play(Asked(plan=meetings(seed)), seed)
+    assert (found.violations, found.errors) == ([], [])
+    assert found.counts["starts"] > 50
+
+
+@pytest.mark.parametrize(("guard", "name", "rule"), [
+    ("asked", "close_looks", "went_back"),  # an answer from what was heard a second ago
+    ("asked", "at_the_last_task", "went_back"),
+    ("conditions", "answers_lost", "went_back"),
+    ("conditions", "hands_change", "ran_twice"),
+    ("conditions", "singles_swarm", "ran_twice"),
+    ("conditions", "bound_to_zones", "ran_twice"),
+    ("conditions", "at_the_last_task", "ran_twice"),
+    ("conditions", "no_room", "ran_twice"),
+])
+def test_a_guard_that_is_off_is_noticed_where_two_troubles_meet(guard: str, name: str, rule: str) -> None:
+    found = [row for turn in range(3) for row in play(
+        Asked(plan=meetings(_seed(name, turn)), guard=guard), _seed(name, turn)).violations]
+    assert any(row.startswith(rule) for row in found), (guard, name)
+
+
+def test_a_job_that_is_accepted_though_it_can_not_run_is_noticed() -> None:
+    plan = Plan((Fault("odd_requests", 6.0, 20.0),), 30.0, 3, 20, 20.0)
+    right = play(Asked(plan=plan), 1)
+    assert right.violations == [] and right.counts["odd_requests"] > 20
+    with patch.object(Users, "never_runs", lambda self, job: None):
+        wrong = play(Asked(plan=plan), 1)
+    assert any(row.startswith("accepted_wrongly") for row in wrong.violations)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -55,8 +55,8 @@
     def lost_lead(self, why: str) -> None:
         self.lost.append(why)
 
-    async def ended_before(self, token: int) -> list[End] | None:
-        return []
+    async def ended_before(self, token: int) -> tuple[list[End], bool]:
+        return [], True
 
     def nodes_heard(self) -> dict[str, list[int]]:
         return {}
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -8,7 +8,8 @@
 import pytest
 
 from oatport import wire
-from oatport.clients.http import NoAnswer
+from oatport.clients.http import NoAnswer, NotSent
+from oatport.clients.peer import NotUnderstood
 from oatport.control.ends import LEADS_MOST, Ends, parse
 from oatport.control.model import Phase
 from oatport.control.records import Batch, job_key, live_key, waits_key
@@ -225,13 +226,23 @@
 async def test_a_takeover_asks_all_nodes_and_strange_or_missing_answers_are_none() -> None:
     node = Node(node_settings(), Tuning())
     node.peers = {name: Peer(answer) for name, answer in {  # type: ignore[assignment, misc]
-        "old": NoAnswer("status 400"), "strange": ["ended", [["x"]]], "other": ["seen", 1, True], "short": ["ended"],
+        "old": NotUnderstood("status 400"), "strange": ["ended", [["x"]]], "other": ["seen", 1, True],
+        "short": ["ended"], "down": NotSent("refused"),
     }.items()}
-    assert await node.telling.ended_before(9) is None
+    assert await node.telling.ended_before(9) == ([], False)
     node.peers["n3"] = Peer(["ended", [["j-000001", 2, 1]]])  # type: ignore[assignment]
-    assert await node.telling.ended_before(9) == [("j-000001", 2, 1)]
+    assert await node.telling.ended_before(9) == ([("j-000001", 2, 1)], True)
     assert await node.telling.on_ends(["ends", 4, [["j-000002", 0, 1]]]) == ["ok"]
-    assert set(await node.telling.ended_before(9) or ()) == {("j-000001", 2, 1), ("j-000002", 0, 1)}
+    found, complete = await node.telling.ended_before(9)
+    assert set(found) == {("j-000001", 2, 1), ("j-000002", 0, 1)} and complete
+    node.peers["cut"] = Peer(NoAnswer("timeout"))  # type: ignore[assignment]
+    assert not (await node.telling.ended_before(9))[1]  # it may have led, and know more
+    node._learn_leader("n3", 8)
+    assert (await node.telling.ended_before(9))[1]
+    node._learn_leader("cut", 9)
+    node._learn_leader("n0", 10)  # this node itself
+    found, complete = await node.telling.ended_before(11)
+    assert not complete and len(found) == 2  # what the others know counts all the same
     assert await node.telling.on_ended(["ended", 4]) == ["ended", None]
     assert await node.telling.on_ended(["ended", 5]) == ["ended", [("j-000002", 0, 1)]]
     for message in (["ends", "4", []], ["ends", 4, [[]]], ["ended", None]):
