--- a/oatport/control/ends.py
+++ b/oatport/control/ends.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Any
 
 End = tuple[str, int, int]  # job, task and the attempt that is done
@@ -28,15 +29,16 @@
 
 class Ends:
     def __init__(self) -> None:
-        self._of: dict[int, list[End]] = {}  # token -> what that leader had not recorded when it last told
+        self._of: dict[int, deque[End]] = {}  # token -> what that leader took in last; some of it is recorded by now
 
     def note(self, token: int, ends: list[End]) -> None:
-        self._of[token] = ends
+        self._of.setdefault(token, deque(maxlen=ROWS_MOST)).extend(ends)
         while len(self._of) > LEADS_MOST:
             del self._of[min(self._of)]
 
     def before(self, token: int) -> list[End] | None:
-        """What earlier leaders had not recorded; None: nothing is known of any."""
-        if not any(told < token for told in self._of):
+        """What earlier leaders may not have recorded, of the newest first; None: nothing is known of any."""
+        tokens = sorted((told for told in self._of if told < token), reverse=True)
+        if not tokens:
             return None
-        return [end for told, ends in self._of.items() if told < token for end in ends]
+        return [end for told in tokens for end in reversed(self._of[told])][:ROWS_MOST]
--- a/oatport/control/sightings.py
+++ b/oatport/control/sightings.py
@@ -71,12 +71,17 @@
         return found
 
     def ends_to_tell(self) -> list[End]:
-        """Ends that are in no record yet: the other nodes are told of them."""
+        """Ends that are in no record yet."""
         for job, index in list(self.unwritten_ends):
             if self.jobs.get(job.ref) is not job or job.cancelled or not (job.finishing or self.unwritten(job, index)):
                 del self.unwritten_ends[job, index]
         return [(job.ref, index, attempt) for (job, index), attempt in self.unwritten_ends.items()][:ROWS_MOST]
 
+    def take_new_ends(self) -> list[End]:
+        """Those that came since this was last asked."""
+        new, self.new_ends = self.new_ends, []
+        return new
+
     def take_ends(self, ends: list[End]) -> None:
         """What earlier leaders took in and may not have recorded.
 
--- a/oatport/control/work.py
+++ b/oatport/control/work.py
@@ -12,6 +12,7 @@
 from oatport.control.agenda import Agenda
 from oatport.control.cancellations import answers_until
 from oatport.control.chains import Chains
+from oatport.control.ends import ROWS_MOST, End
 from oatport.control.layout import Layout
 from oatport.control.model import PRIORITIES, Hold, Job, Kind, Machine, Phase, Task, allowed_types
 from oatport.control.predictor import Predictor
@@ -78,6 +79,7 @@
         self.rank_tasks = [0] * len(PRIORITIES)  # tasks on machines, by priority
         self.ends_unknown = False  # earlier leaders may have taken in ends that nobody tells of now
         self.unwritten_ends: dict[tuple[Job, int], int] = {}  # tasks that are done, and the attempt: maybe in no record
+        self.new_ends: list[End] = []  # of these, what the other nodes were not told yet
 
     def dark_value(self) -> dict[str, Any]:
         """Zones that are cut off, and since when by the time of day; those with a node that keeps leases there."""
@@ -410,7 +412,7 @@
             self.unassign(task)
         job.tasks.pop(task.index, None)
         job.done.add(task.index)
-        self.unwritten_ends[job, task.index] = task.attempt
+        self._note_end(task)
         self.stirred[job] = None
         self.touch(task)
         if job.kind is Kind.GANG and not job.cancelled:
@@ -422,6 +424,11 @@
             self.waiting.discard(job)
             self.to_finish[job] = None
 
+    def _note_end(self, task: Task) -> None:
+        self.unwritten_ends[task.job, task.index] = task.attempt
+        if len(self.new_ends) < ROWS_MOST:
+            self.new_ends.append((task.job.ref, task.index, task.attempt))
+
     def complete_gang(self, job: Job) -> None:
         """One of its tasks is done, so all are (PROTOCOL, "Gangs"): what is on no machine is done now, the rest once it
         is proven gone.
@@ -435,7 +442,7 @@
                 self.unassign(task)
             del job.tasks[task.index]
             job.done.add(task.index)
-            self.unwritten_ends[job, task.index] = task.attempt
+            self._note_end(task)
             self.touch(task)
         job.again.clear()
         job.done.update(range(job.fresh, job.spec.tasks))
--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -413,6 +413,7 @@
                 if task.acked is None and task.machine is not None and task.repeat_start_at <= now:
                     self.cluster.to_send.add(task.machine)
             self._read_strays()
+            self.cluster.ends_to_tell()  # what is recorded by now is left out
             if now - recorded_at > 15 * SECOND and self.cluster.predictor.changed:
                 self.cluster.predictor.changed = False
                 self.cluster.dirty[MODEL_KEY] = None
--- a/oatport/service/telling.py
+++ b/oatport/service/telling.py
@@ -18,10 +18,11 @@
 from oatport.service.lead import Lead
 from oatport.service.tasks import TaskGroup
 from oatport.settings import ClusterSettings
-from oatport.times import MS, micros, steady
+from oatport.times import MS, micros, seconds, steady
 
 ASK_EVERY = 400 * MS
-TELL_ENDS = 300 * MS
+TELL_ENDS = 50 * MS  # the shorter, the less is lost with a leader that ends
+TELL_LEFT_EVERY = 300 * MS
 ENDED_WITHIN = 300 * MS  # a takeover waits no longer for what others know
 TELL_LEFT_TRIES = 60  # a deposed leader's, at peers that it doesn't reach
 STALE = 2_500 * MS  # the watch on jobs tells every second, if it tells
@@ -71,7 +72,7 @@
     # --- ends that are not recorded yet --------------------------------------------------------
 
     async def on_ends(self, message: Message) -> Message:
-        """["ends", token, rows]: what that leader took in and has not recorded."""
+        """["ends", token, rows]: what that leader has taken in."""
         _, token, rows = message
         if type(token) is not int:
             raise ValueError("not a token")
@@ -87,20 +88,20 @@
         if type(message[1]) is not int:
             raise ValueError("not a token")
         found = self.ends.before(message[1])
-        return ["ended", None if found is None else found[:ends.ROWS_MOST]]
+        return ["ended", found]
 
     async def ends_loop(self) -> None:
-        """As the leader: tell the others of ends until they are recorded, and once that there are none."""
-        told = (0, False)
+        """As the leader: tell the others at once of ends that are not recorded, and first of all that it leads."""
+        told = 0
         while True:
             lead = self._here.lead
             if lead is not None and lead.loaded:
-                rows = lead.cluster.ends_to_tell()
-                if rows or told != (lead.token, False):
+                new = lead.cluster.take_new_ends()
+                if new or lead.token != told:
+                    told = lead.token
                     for peer in self._here.peers.values():
-                        self._here.group.once("ends", _ask_quietly(peer, "ends", lead.token, rows))
-                told = (lead.token, bool(rows))
-            await asyncio.sleep(jitter(TELL_ENDS))
+                        self._here.group.once("ends", _ask_quietly(peer, "ends", lead.token, new))
+            await asyncio.sleep(seconds(TELL_ENDS))
 
     def deposed(self, lead: Lead) -> None:
         """What it leaves unrecorded is told to the others, who may not be reached just now, and to whoever asks."""
@@ -116,7 +117,7 @@
                 await peer.ask("ends", token, left)
                 return
             except NoAnswer:
-                await asyncio.sleep(jitter(TELL_ENDS))
+                await asyncio.sleep(jitter(TELL_LEFT_EVERY))
 
     async def ended_before(self, token: int) -> tuple[list[ends.End], bool]:
         """What earlier leaders took in and did not record, as far as any node knows; and whether that may be all.
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -10,7 +10,7 @@
 from oatport import wire
 from oatport.clients.http import NoAnswer, NotSent
 from oatport.clients.peer import NotUnderstood
-from oatport.control.ends import LEADS_MOST, Ends, parse
+from oatport.control.ends import LEADS_MOST, ROWS_MOST, Ends, parse
 from oatport.control.model import Phase
 from oatport.control.records import Batch, job_key, live_key, waits_key
 from oatport.lab.world.limits import limits
@@ -199,8 +199,12 @@
         ends.note(token, [(f"j-{token:06d}", 0, 1)])
     assert ends.before(3) is None and ends.before(4) == [("j-000003", 0, 1)]
     assert len(ends.before(100) or []) == LEADS_MOST
-    ends.note(LEADS_MOST + 2, [])
-    assert len(ends.before(100) or []) == LEADS_MOST - 1
+    ends.note(LEADS_MOST + 2, [("j-000099", 0, 1)])
+    assert (ends.before(100) or [])[:2] == [("j-000099", 0, 1), (f"j-{LEADS_MOST + 2:06d}", 0, 1)]  # the newest first
+    for number in range(2 * ROWS_MOST):
+        ends.note(99, [("j-000001", number, 1)])
+    found = ends.before(100) or []
+    assert len(found) == ROWS_MOST and found[0] == ("j-000001", 2 * ROWS_MOST - 1, 1)
 
 
 @pytest.mark.parametrize("rows", [None, 5, [5], [["j-000001", 0]], [["j-000001", "0", 1]], [["j-000001", 0, 1.5]],
