--- a/oatport/service/lead.py
+++ b/oatport/service/lead.py
@@ -45,6 +45,7 @@
 WATCH_WAIT = 1_000 * MS
 ACCOUNT_EVERY = 5 * SECOND
 TICK_S = 0.5
+LOOKED_UP_MOST = 4  # unknown jobs at a time
 SENDING_MOST = 64  # machines that are told something at a time
 PLAN_GAP = 30 * MS
 PLAN_REST = 3  # times as long as a planning pass took, until the next
@@ -426,7 +427,9 @@
 
     def _read_strays(self) -> None:
         """Of which teams are tasks that machines tell of, and no record? Until that is known none has room."""
-        for ref in self.cluster.teams.unknown.keys() - self._reading:
+        for ref in [ref for ref in self.cluster.teams.unknown if ref not in self._reading]:
+            if len(self._reading) >= LOOKED_UP_MOST:
+                return  # old copies may tell of hundreds that are long over; renewals and users go first
             self._reading.add(ref)
             self.group.once("stray", self._read_stray(ref))
 
@@ -438,6 +441,7 @@
         finally:
             self._reading.discard(ref)
         self.cluster.settle_strays(ref, None if found is None else read_job(found[0])[0])
+        self._read_strays()
         self.wake()
 
     # --- display ----------------------------------------------------------------------------
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -18,6 +18,7 @@
 from oatport.lab.world.rehearse import Asked, play
 from oatport.lab.world.state import KeyStore
 from oatport.lab.world.worker import Worker
+from oatport.service.lead import LOOKED_UP_MOST
 from oatport.service.node import Node
 from oatport.settings import Team, Tuning
 from oatport.times import SECOND, steady
@@ -385,6 +386,23 @@
     assert world.cluster.teams["crew"].cpus == 0.0
 
 
+async def test_unknown_jobs_are_looked_up_a_few_at_a_time(state: KeyStore) -> None:
+    """Copies from before a takeover tell of many that are over: a read for each at once would use up the requests."""
+    lead, client, _ = leader(state)
+    world = World()
+    lead.cluster = world.cluster
+    worker = world.machine(1)
+    world.settle(2)
+    for number in range(20):
+        ref = f"j-{700 + number:06d}"
+        world.jobs[ref] = job(ref, cores=0.1, memoryGb=0.1)
+        _start_behind_its_back(world, worker, ref)
+    lead._read_strays()
+    assert len(lead._reading) == LOOKED_UP_MOST
+    await asyncio.sleep(0.05)
+    assert not world.cluster.teams.unknown and client.reads == 20 and not lead._reading
+
+
 def test_an_attempt_that_refuses_another_keeps_its_task_from_other_machines() -> None:
     """`in_use` says that the task is there: it doesn't start elsewhere meanwhile."""
     world = World()
