In a dark zone, too, machines that may alone tell of ends wait for the last leader's answers to end

It concerns machines with work of the leader before, never heard of by this one, while that one can't be asked.

--- a/oatport/service/watching.py
+++ b/oatport/service/watching.py
@@ -16,7 +16,7 @@
 from oatport.service.helm import Helm
 from oatport.service.network import Network
 from oatport.service.takeover import introduce
-from oatport.times import MS, SECOND, steady
+from oatport.times import MS, SECOND, micros, steady
 
 log = logging.getLogger(__name__)
 
@@ -129,6 +129,9 @@
     async def _leave_dark(self, now: int) -> None:
         """Give up machines of zones that are cut off, where something is won by it (`control/darkness.py`)."""
         leaving = self._leaving.now(now, self._kept()) if self.cluster.dark else []
+        # A leader that was cut off along answers for so long, and nobody can ask it what it was told.
+        answered_until = self._helm.began + micros(self._helm.settings.cluster.workers.cancel_s)
+        leaving = [m for m in leaving if not self.cluster.may_still_tell(m, now, answered_until)]
         if not leaving or self._helm.stalled(now):
             return
         if now - self._confirmed_at > CONFIRMED:
