A release without an answer is repeated, whatever is recorded on the machine

A slip of the change before: machines with tasks were passed over first, so that one given up as silent while the cloud was down was never asked for again. Found by reading the change once more; a test stands for it now.

--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -161,11 +161,13 @@
         for machine in cluster.machines.values():
             if machine.deaf and unheard and not machine.releasing:
                 continue  # it is rather this node that reaches none: others would be just as deaf to it
-            if machine.tasks or machine.strays or cluster.witnesses(machine):
+            if cluster.witnesses(machine):
                 continue
             if machine.releasing:
                 chosen.append(machine)  # asked before without an answer
                 continue
+            if machine.tasks or machine.strays:
+                continue
             if not machine.up_at:
                 # In a zone that is cut off it may be up and unheard: charged all the same.
                 patience = micros(machine.type.boot_s * (2 if machine.zone in cluster.dark else tuning.boot_patience))
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -70,6 +70,19 @@
     assert world.fleet.to_release(world.now) == [machine]
 
 
+def test_a_release_without_an_answer_is_repeated_though_tasks_are_recorded_there() -> None:
+    """It was given up as silent while the cloud was down: nobody else asks again."""
+    world = World()
+    worker = world.machine(1)
+    world.settle(2)
+    world.submit(legs=1, cores=8.0, voyageS=500.0)
+    world.settle(3)
+    machine = world.cluster.machines[worker.name]
+    assert machine.tasks and world.fleet.to_release(world.now) == []
+    machine.releasing = True
+    assert world.fleet.to_release(world.now) == [machine]
+
+
 def test_an_end_under_way_to_its_record_holds_the_machine_as_well() -> None:
     world = World()
     ref, worker = _done_unwritten(world)
