--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oatport.api.users import Users
+from oatport.lab.world.limits import limits
 from oatport.lab.world.meetings import MEETINGS, meetings
 from oatport.lab.world.plan import Fault, Plan
 from oatport.lab.world.rehearse import Asked, play
@@ -50,3 +51,27 @@
     with patch.object(Users, "never_runs", lambda self, job: None):
         wrong = play(Asked(plan=plan), 1)
     assert any(row.startswith("accepted_wrongly") for row in wrong.violations)
+
+
+# --- teams at their limits ------------------------------------------------------------------------------
+
+
+def test_at_their_limits_teams_pass_none_and_no_task_runs_twice() -> None:
+    for seed in (10, 24, 48):
+        found = play(Asked(plan=limits(seed)), seed)
+        assert (found.violations, found.errors) == ([], [])
+        assert max(found.at_limit.values()) > 0.3
+        assert found.counts["starts"] > 200
+
+
+@pytest.mark.parametrize(("guard", "seeds"), [
+    ("ends", (1, 2)), ("returned", (10, 15)), ("handed-on", (48,)), ("whole", (11, 27)), ("unproven", (6, 12)),
+])
+def test_the_checker_notices_what_keeps_tasks_from_running_twice(guard: str, seeds: tuple[int, ...]) -> None:
+    broken = {seed: play(Asked(story="limits", guard=guard), seed).violations for seed in seeds}
+    assert any(row.startswith("ran_twice") for rows in broken.values() for row in rows), guard
+
+
+def test_a_plan_that_leaves_no_team_at_its_limit_is_seen() -> None:
+    idle = play(Asked(plan=Plan((Fault("node_freeze", 20.0, 2.0),), 30.0, 3, 20, 2.0)), 1)
+    assert max(idle.at_limit.values()) < 0.3
