--- a/oatport/control/fleet.py
+++ b/oatport/control/fleet.py
@@ -161,10 +161,9 @@
         for machine in cluster.machines.values():
             if machine.deaf and unheard and not machine.releasing:
                 continue  # it is rather this node that reaches none: others would be just as deaf to it
-            if cluster.witnesses(machine):
-                continue
             if machine.releasing:
-                chosen.append(machine)  # asked before without an answer
+                if not cluster.witnesses(machine):
+                    chosen.append(machine)  # asked before without an answer
                 continue
             if machine.tasks or machine.strays:
                 continue
@@ -182,6 +181,10 @@
                     spare -= machine.type.cpus
             else:
                 continue
+            # Asked only now: it has the ends that it finds written at once, and if it did so for all machines, none
+            # would wait for others of their record any more.
+            if cluster.witnesses(machine):
+                continue
             machine.releasing = True
             chosen.append(machine)
         return chosen[:RELEASE_MOST]
--- a/tests/test_whereabouts.py
+++ b/tests/test_whereabouts.py
@@ -80,6 +80,15 @@
     assert world.fleet.to_release(world.now) == [machine]
 
 
+def test_ends_on_machines_that_stay_wait_for_others_of_their_record() -> None:
+    """Written at once for every machine, they used up the changes that submissions wait for."""
+    world = World()
+    ref, worker = _done_unwritten(world)
+    assert world.fleet.to_release(world.now) == []
+    assert live_key(ref) in world.cluster.dirty and live_key(ref) not in world.cluster.urgent
+    assert not world.cluster.machines[worker.name].releasing
+
+
 def test_an_end_under_way_to_its_record_holds_the_machine_as_well() -> None:
     world = World()
     ref, worker = _done_unwritten(world)
