--- a/oatport/control/sightings.py
+++ b/oatport/control/sightings.py
@@ -12,26 +12,31 @@
 log = logging.getLogger(__name__)
 
 
+def _ref_of(name: str) -> str:
+    """The job that a machine names a task of; a name of another form stands for itself."""
+    parts = split_task(name)
+    return parts[0] if parts else name
+
+
 class Sightings(Work):
     # --- attempts that no record puts where they are ------------------------------------------
 
     def _stray_came(self, machine: Machine, key: tuple[str, int]) -> None:
         """It counts for its team and its job's zones as any task does, until a report or a release proves it gone."""
         log.info("stray task %s attempt %d on %s", *key, machine.name)
-        parts = split_task(key[0])
-        job = self.jobs.get(parts[0]) if parts else None
+        ref = _ref_of(key[0])
+        job = self.jobs.get(ref)
         machine.strays[key] = (job, job.spec if job is not None else None)
         if job is not None:
             job.strays += 1
             self.occupy(job, job.spec, machine, 1)
         else:
-            self.teams.unknown[parts[0] if parts else key[0]] += 1
+            self.teams.unknown[ref] += 1
         self.to_send.add(machine)
 
     def _stray_left(self, machine: Machine, key: tuple[str, int]) -> None:
         job, spec = machine.strays.pop(key)
-        parts = split_task(key[0])
-        ref = parts[0] if parts else key[0]
+        ref = _ref_of(key[0])
         if spec is not None:
             self.occupy(job, spec, machine, -1)
         elif ref in self.teams.unknown:  # else nobody submitted it
@@ -45,8 +50,7 @@
         job = self.jobs.get(ref)
         for machine in self.machines.values():
             for key, (_, known) in list(machine.strays.items()):
-                parts = split_task(key[0])
-                if known is not None or (parts[0] if parts else key[0]) != ref:
+                if known is not None or _ref_of(key[0]) != ref:
                     continue
                 machine.strays[key] = (job, spec)
                 if spec is not None:
--- a/oatport/lab/world/troubles.py
+++ b/oatport/lab/world/troubles.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 from oatport.lab.world import deployment
 from oatport.lab.world.checker import Checker
@@ -221,28 +222,19 @@
         return lambda: self.state.set_down(False)
 
     def _on_state_slow(self, fault: Fault) -> Callable[[], None]:
-        self.state.slow_share += fault.amount
+        return self._raised(self.state, "slow_share", fault.amount)
 
-        def end() -> None:
-            self.state.slow_share -= fault.amount
-
-        return end
+    @staticmethod
+    def _raised(what: Any, name: str, amount: float) -> Callable[[], None]:
+        """A share is higher by so much until it ends; troubles of a kind add up."""
+        setattr(what, name, getattr(what, name) + amount)
+        return lambda: setattr(what, name, getattr(what, name) - amount)
 
     def _on_late_writes(self, fault: Fault) -> Callable[[], None]:
-        self.state.late_share += fault.amount
-
-        def end() -> None:
-            self.state.late_share -= fault.amount
-
-        return end
+        return self._raised(self.state, "late_share", fault.amount)
 
     def _on_lost_answers(self, fault: Fault) -> Callable[[], None]:
-        self.state.unanswered_share += fault.amount
-
-        def end() -> None:
-            self.state.unanswered_share -= fault.amount
-
-        return end
+        return self._raised(self.state, "unanswered_share", fault.amount)
 
     def _on_quick_boots(self, fault: Fault) -> Callable[[], None]:
         self.quick_boots = True
@@ -315,7 +307,7 @@
         self.checker.on_news = news
         return end
 
-    def _on_odd_requests(self, fault: Fault) -> Callable[[], None]:
+    def _on_odd_requests(self, fault: Fault) -> None:
         ends_at = self.loop.time() + fault.for_s
 
         async def ask_oddly() -> None:
@@ -328,7 +320,6 @@
                     await self._ask_oddly(self._rng.choice(asks), f"j-{950_000 + number:06d}")
 
         self.loop.create_task(ask_oddly(), context=self.people.context)
-        return lambda: None
 
     async def _ask_oddly(self, ask: Ask, ref: str) -> None:
         kind, user = self._rng.randrange(4), self.users[ask.ref]
@@ -427,7 +418,7 @@
         return end
 
     def _repeated(self, what: str, fault: Fault) -> Callable[[], None]:
-        row = (what, fault.amount, [bind for bind, _ in deployment.node_addresses(self.plan).values()])
+        row = (what, fault.amount, self._binds())
         self.net.repeats.append(row)
         return lambda: self.net.repeats.remove(row)
 
@@ -436,12 +427,7 @@
 
     def _on_copies_for_next(self, fault: Fault) -> Callable[[], None]:
         """Copies of reports are kept, and arrive at the next leader just as it begins."""
-        self.net.kept_share += fault.amount
-
-        def end() -> None:
-            self.net.kept_share -= fault.amount
-
-        return end
+        return self._raised(self.net, "kept_share", fault.amount)
 
     def _on_late_repeats(self, fault: Fault) -> Callable[[], None]:
         return self._repeated("requests", fault)
