review: case 2, a deferred job's record exceeds the lowered value limit

With deploy/windows.ini the plan of a large deferrable array is written into the job's record, without a bound on its size.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -108,7 +108,9 @@
         teams: list[dict[str, Any]] | None = None,
     ) -> None:
         self.record = record
-        self.settings = {name: values | (settings or {}).get(name, {}) for name, values in SETTINGS.items()}
+        names = dict.fromkeys([*SETTINGS, *(settings or {})])
+        self.settings = {name: SETTINGS.get(name, {}) | (settings or {}).get(name, {}) for name in names}
+        self.tuning = ""  # path of the operators' settings file for the nodes, if any
         self.teams = teams or [{"name": "fleetops", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}]
         self.machine_type, self.capacity = machine_type, capacity
         limits = self.settings["state"]
@@ -158,6 +160,9 @@
         command = tomllib.loads((ROOT / "deploy" / "service.toml").read_text(encoding="utf-8"))["run"]
         environment = {**os.environ, "LOG_LEVEL": "info"}
         environment.pop("PYTHONPATH", None)
+        environment.pop("OATPORT_TUNING", None)
+        if self.tuning:
+            environment["OATPORT_TUNING"] = self.tuning
         with (self.folder / f"{name}.log").open("ab") as log:
             process = subprocess.Popen([*shlex.split(command), str(path)], cwd=ROOT, stderr=log, env=environment)
         if index < len(self.processes):
--- a/review/lib/state_service.py
+++ b/review/lib/state_service.py
@@ -63,6 +63,11 @@
         self._changed = asyncio.Event()
         self._next_lease = 1
 
+    def lower_limits(self, value_kb: float, txn_ops: int, write_rps: float) -> None:
+        """Lowers the limits without notice; what is stored stays."""
+        self.value_limit, self.txn_ops = round(value_kb * 1024), txn_ops
+        self._writes.rate, self._writes.level = write_rps, min(self._writes.level, write_rps)
+
     async def handle(self, method: str, target: str, body: Any) -> Response:
         """Answers one request."""
         await asyncio.sleep(0.003)
