--- a/oatport/clients/state.py
+++ b/oatport/clients/state.py
@@ -163,7 +163,8 @@
             return Conflict(wire.decode_failed_keys(value))
         if status == 400 and wire.is_lease_missing(value):
             raise LeaseExpiredError(lease)
-        log.error("transaction refused as malformed status=%d response=%s", status, value)
+        figures = wire.describe_transaction(conditions, sets, deletes or [])
+        log.error("transaction refused as malformed status=%d response=%s %s", status, value, figures)
         raise RequestRefusedError(status, value)
 
     async def grant_lease(self, ttl_us: int) -> int:
