Leader: transactions keep 64 KiB, and a refused record stops no other one

Cause: a batch was bounded by its operations alone. Eight jobs that needed a cancelled one, 10 KB each, made a transaction of 83 KB. The state service answered 400 ("64 KiB in total"), the leader stepped down, and each later leader built the same transaction from the records.

Change: BatchBuilder bounds each transaction by its size as JSON, an upper bound that is summed up item by item. A record is at most so large that two fit into one transaction, as acceptance writes two. A refused transaction no longer ends the lead, since a successor has to write the same: its records are written one by one, and one that is refused alone is withheld for 30 s while its bindings are withdrawn, under this leader and each later one. The nodes' batches of submissions are bounded the same way (they counted CBOR), and a refused batch is committed job by job; a description that no value can hold gets 400 unless the job was accepted earlier. The simulated state service refuses what PROTOCOL says is refused: 64 KiB, keys, lease durations, waits, pages of 512 KiB.

--- a/oatport/api/job_api.py
+++ b/oatport/api/job_api.py
@@ -23,7 +23,9 @@
 from oatport.control.storage.job_records import encode_submission
 from oatport.control.storage.keys import cancel_key, job_key
 from oatport.control.storage.overflow_records import split_overflow
+from oatport.control.storage.record_layout import HEAD_RECORD_OVERHEAD_BYTES, max_record_bytes
 from oatport.settings import Settings
+from oatport.sizes import json_size
 from oatport.times import time_of_day
 
 log = logging.getLogger(__name__)
@@ -35,6 +37,7 @@
 MAX_DEPENDENCIES_SHOWN = 20
 MAX_CONCURRENT_STATE_CALLS = 24  # made for users' requests
 QUOTA_TOLERANCE = 1e-9
+DESCRIPTION_TOO_LARGE = "the job's description is too large to be stored"
 
 STATE_SERVICE_ERRORS = (NoResponseError, RequestRefusedError, OverloadedError)
 
@@ -68,7 +71,7 @@
         self._jobs = JobStatusCache(state, self._state_calls, limits.min_rps)
         limiter = AdaptiveRateLimiter(limits.write_rps, settings.cluster.size, limits.min_write_rps)
         self._batcher = SubmissionBatcher(state, limits.min_txn_ops, limiter)
-        self._max_value_bytes = limits.min_value_bytes
+        self._max_record_bytes = max_record_bytes(limits.min_value_bytes)
         self._best_effort_share = BestEffortShare(limits.write_rps)
         self._active_requests = 0
 
@@ -135,7 +138,7 @@
                 return refused
         return await self._accept(submission)
 
-    async def _refuse_unless_accepted(self, job_id: str, reason: str) -> Response:
+    async def _refuse_unless_accepted(self, job_id: str, reason: str, status: int = 422) -> Response:
         """Returns the job's status if it was accepted earlier, otherwise a refusal with `reason`.
 
         An accepted job is never refused, even if the machine types have changed since (rule `forgotten`).
@@ -143,7 +146,7 @@
         value = await self._read(job_id)
         if value is None:
             return retry_later()
-        return Response(200, value) if value else Response(422, {"error": reason})
+        return Response(200, value) if value else Response(status, {"error": reason})
 
     async def _check_dependencies(self, submission: wire.Submission, dependencies: list[str]) -> Response | None:
         """Returns a refusal if the job can't depend on one of `dependencies`, otherwise None."""
@@ -187,7 +190,9 @@
         if best_effort and not (self._batcher.has_capacity_for_best_effort() and self._best_effort_share.try_acquire()):
             return retry_later(BEST_EFFORT_RETRY_S)  # other submissions and the leader's bindings have priority
         record = encode_submission(submission, time_of_day(), wire.JobStatus.QUEUED)
-        record, overflow = split_overflow(record, self._max_value_bytes)
+        record, overflow = split_overflow(record, self._max_record_bytes)
+        if json_size(record) + HEAD_RECORD_OVERHEAD_BYTES > self._max_record_bytes:
+            return await self._refuse_unless_accepted(job_id, DESCRIPTION_TOO_LARGE, 400)
         if overflow and not await self._batcher.write_overflow(job_id, overflow):
             return retry_later()
         eviction_count = self._jobs.eviction_count()
@@ -199,6 +204,8 @@
                 dependencies = format_job_ids(submission.dependencies)
                 log.info("job accepted as blocked job=%s dependencies=%s", job_id, dependencies)
             return Response(201, {"ref": job_id, "status": wire.JobStatus.QUEUED})
+        if result.outcome is SubmitOutcome.REFUSED:
+            return await self._refuse_unless_accepted(job_id, DESCRIPTION_TOO_LARGE, 400)
         value = None if result.outcome is SubmitOutcome.UNKNOWN else await self._read(job_id)
         if value:
             return Response(200, value)
--- a/oatport/api/submission_batcher.py
+++ b/oatport/api/submission_batcher.py
@@ -21,7 +21,7 @@
 BEST_EFFORT_SHARE = 0.6
 MAX_CONCURRENT_COMMITS = 4
 MAX_SEND_DELAY = 150 * MS
-MAX_BATCH_BYTES = 24 * 1024  # of records in one transaction: well below the limit of a transaction
+TOO_MANY_REQUESTS = 429
 
 
 class SubmitOutcome(Enum):
@@ -30,6 +30,7 @@
     CREATED = auto()
     ALREADY_KNOWN = auto()  # the job has a record
     UNKNOWN = auto()  # the user has to retry
+    REFUSED = auto()  # the state service does not take the job's record
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,11 +150,11 @@
     def _take_batch(self) -> dict[str, PendingSubmission]:
         """Removes and returns as many submissions as a transaction and the limit allow, best-effort ones last."""
         batch: dict[str, PendingSubmission] = {}
-        size = 0
+        size = wire.EMPTY_TRANSACTION_BYTES
         max_batch = min(self._max_batch, max(1, self._limiter.available(steady()) // KEYS_PER_ACCEPTED_JOB))
         for job_id in sorted(self._pending, key=lambda job_id: self._pending[job_id].best_effort):
-            size += len(wire.encode(self._pending[job_id].record)) * KEYS_PER_ACCEPTED_JOB
-            if batch and (len(batch) >= max_batch or size > MAX_BATCH_BYTES):
+            size += _submission_size(job_id, self._pending[job_id].record)
+            if batch and (len(batch) >= max_batch or size > wire.MAX_TRANSACTION_BYTES):
                 break
             batch[job_id] = self._pending.pop(job_id)
             batch[job_id].sent.set_result(None)
@@ -174,8 +175,10 @@
                 except NoResponseError:
                     break
                 except RequestRefusedError as error:
-                    if error.status == 429:
+                    if error.status == TOO_MANY_REQUESTS:
                         self._limiter.on_throttled(steady())
+                    elif error.status < TOO_MANY_REQUESTS:
+                        return results | await self._commit_one_by_one(remaining)
                     return results
                 if isinstance(result, Applied):
                     created = SubmitResult(SubmitOutcome.CREATED, result.revision)
@@ -186,6 +189,22 @@
                     del remaining[job_id]
         return results
 
+    async def _commit_one_by_one(self, records: dict[str, dict[str, Any]]) -> dict[str, SubmitResult]:
+        """Commits each job of a refused batch alone, so that a job whose record is refused stops no other."""
+        if len(records) == 1:
+            return dict.fromkeys(records, SubmitResult(SubmitOutcome.REFUSED))
+        results: dict[str, SubmitResult] = {}
+        for job_id, record in records.items():
+            self._limiter.consume(steady(), KEYS_PER_ACCEPTED_JOB)
+            results |= await self._commit({job_id: record})
+        return results
+
+
+def _submission_size(job_id: str, record: dict[str, Any]) -> int:
+    """Returns the bytes by which a transaction grows if it accepts a job."""
+    sets = _records_to_set({job_id: record})
+    return sum(wire.set_size(key, value) for key, value in sets.items()) + wire.condition_size(job_key(job_id))
+
 
 def _records_to_set(records: dict[str, dict[str, Any]]) -> dict[str, Any]:
     """Returns the keys to write: a job is stored under jobs/ and live/, a blocked job under jobs/ and `blocked_key`.
--- a/oatport/control/state/cluster_state.py
+++ b/oatport/control/state/cluster_state.py
@@ -32,7 +32,7 @@
 from oatport.control.state.unwritten_completions import UnwrittenCompletions
 from oatport.control.state.utilization import FleetAccounting
 from oatport.control.storage.keys import PARTITIONED_ZONES_KEY
-from oatport.control.storage.record_layout import RecordLayout
+from oatport.control.storage.record_layout import RecordLayout, max_record_bytes
 from oatport.control.storage.write_buffer import WriteBuffer
 from oatport.settings import ClusterSettings, Tuning
 from oatport.times import SECOND, micros
@@ -87,7 +87,8 @@
         self.catalog = MachineTypeCatalog(types)
         self.accounting = FleetAccounting(self)
         max_zone_name_length = max(map(len, settings.zones), default=0)
-        self.writes = WriteBuffer(self, RecordLayout(settings.state.min_value_bytes, max_zone_name_length))
+        record_limit = max_record_bytes(settings.state.min_value_bytes)
+        self.writes = WriteBuffer(self, RecordLayout(record_limit, max_zone_name_length))
         self.dependencies = DependencyTracker(self)
         self.job_lifecycle = JobLifecycle(self)
         self.tasks = TaskLifecycle(self)
--- a/oatport/control/storage/record_layout.py
+++ b/oatport/control/storage/record_layout.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from oatport import wire
 from oatport.control.state.job import Job
 from oatport.control.storage.job_records import encode_description
 from oatport.control.storage.keys import (
@@ -32,10 +33,24 @@
 
 RECORD_OVERHEAD_BYTES = 96  # of a record, besides its rows
 HEAD_RECORD_OVERHEAD_BYTES = 288  # of a job's head record, besides its description and rows; includes a deferral
+# Of a transaction with two records, besides their values: keys, and the conditions on these, a job and the leader.
+RECORD_PAIR_OVERHEAD_BYTES = (
+    wire.EMPTY_TRANSACTION_BYTES
+    + 2 * wire.set_size("k" * wire.MAX_KEY_BYTES, "")
+    + 4 * wire.condition_size("k" * wire.MAX_KEY_BYTES)
+)
 TASK_ROW_BYTES = 28  # [attempt, machine, epoch]
 MACHINE_ROW_BYTES = 110  # without the zone name
 
 
+def max_record_bytes(value_limit: int) -> int:
+    """Returns how large a record may be: a value, of which one transaction holds two, as an accepted job is stored.
+
+    `value_limit`: the state service's limit on values. All sizes are in bytes of JSON.
+    """
+    return min(value_limit, (wire.MAX_TRANSACTION_BYTES - RECORD_PAIR_OVERHEAD_BYTES) // 2)
+
+
 def rows_per_value(limit: int, overhead_bytes: int, row_bytes: int, max_rows: int) -> int:
     """Returns how many rows fit into a value of `limit` bytes besides its overhead, between 1 and `max_rows`."""
     return min(max_rows, max(1, (limit - overhead_bytes) // row_bytes))
--- a/oatport/control/storage/write_buffer.py
+++ b/oatport/control/storage/write_buffer.py
@@ -8,6 +8,7 @@
 from oatport.control.state.job import Job, JobKind
 from oatport.control.state.machine import Machine
 from oatport.control.state.task import Task, TaskPhase
+from oatport.control.storage.batch_builder import BatchBuilder
 from oatport.control.storage.fleet_records import FleetRecord, decode_fleet, encode_fleet, fleet_span
 from oatport.control.storage.job_records import (
     has_tasks,
@@ -27,10 +28,12 @@
     first_machine,
     first_task,
     group_key,
+    job_key,
     live_key,
 )
 from oatport.control.storage.record_layout import RecordLayout
-from oatport.control.storage.write_batch import BatchBuilder, WriteBatch
+from oatport.control.storage.refused_writes import RefusedWrites
+from oatport.control.storage.write_batch import WriteBatch
 from oatport.sizes import json_size
 
 if TYPE_CHECKING:
@@ -59,6 +62,7 @@
         self.jobs_to_delete: dict[Job, None] = {}  # cancelled and on no machine: delete their keys
         self.jobs_to_cancel: dict[str, Job] = {}  # blocked jobs with a cancelled dependency
         self.orphaned_keys: list[str] = []  # keys to delete whose job no longer exists
+        self.refused = RefusedWrites()
         # Removed jobs -> the revision at which their completion was recorded.
         self.terminal_revisions: dict[str, int] = {}
 
@@ -79,9 +83,12 @@
     def is_unwritten(self, job: Job, index: int) -> bool:
         """Returns whether a task's state may not be recorded yet: a record of the task is still to be written."""
         return any(
-            key in pending_keys
+            key in self.dirty_keys
+            or key in self.urgent_keys
+            or key in self.in_flight_keys
+            or key in self._withheld_keys
+            or self.refused.is_withheld(key)
             for key in self.task_record_keys(job, index)
-            for pending_keys in (self.dirty_keys, self.urgent_keys, self.in_flight_keys, self._withheld_keys)
         )
 
     def mark_machine_dirty(self, machine: Machine, *, urgent: bool = False) -> None:
@@ -115,6 +122,7 @@
         for key in [k for k in self.job_keys(job) if k in self.versions and k not in orphaned]:
             self.versions.pop(key, None)
             self.discard_key(key)
+        self.refused.discard((job_key(job.job_id), *self.job_keys(job)))
 
     def expedite(self, key: str) -> None:
         """Makes the pending write of a dirty record urgent; does nothing for other records."""
@@ -194,6 +202,7 @@
             or self.jobs_to_delete
             or self.jobs_to_cancel
             or self.orphaned_keys
+            or self.refused.has_due(self.cluster.now)
         )
 
     def has_urgent_writes(self) -> bool:
@@ -210,6 +219,8 @@
         `budget`: number of operations that may be sent now. Non-urgent writes are added only within the budget;
         otherwise bindings would wait for writes of completions, and a lost replica for those of a whole zone.
         """
+        for refused in self.refused.take_due(self.cluster.now):
+            self.restore_batch(refused)
         batch = BatchBuilder(self, max_operations).build(budget, batching_window)
         self.in_flight_keys = {*batch.sets, *batch.deletes}
         return batch
@@ -246,6 +257,7 @@
     def committed(self, batch: WriteBatch, revision: int, now: int) -> None:
         """Applies the effects of a transaction that is known to be committed."""
         self.in_flight_keys = set()
+        self.refused.discard(batch.sets)
         for key in batch.deletes:
             self.versions.pop(key, None)
         for key, value in batch.sets.items():
@@ -280,6 +292,31 @@
         if task.job.kind is JobKind.GANG:
             self.cluster.machines_to_command.update(t.machine for t in task.job.tasks.values() if t.machine)
 
+    def on_refused(self, batch: WriteBatch, retry_at: int) -> bool:
+        """Handles a transaction that the state service refused as malformed, and returns whether it is withheld.
+
+        The first time, its records are to be written one by one. A record that was refused alone is withheld until
+        `retry_at`, and its job is not placed until then: the capacity that it was bound to is free for other jobs.
+        """
+        if not self.refused.is_isolated(batch):
+            self.refused.add_suspects(batch)
+            self.restore_batch(batch)
+            return False
+        self.in_flight_keys = set()
+        self._withdraw_bindings(batch, retry_at)
+        for key in batch.sets:
+            self.urgent_keys.pop(key, None)
+            self.dirty_keys.pop(key, None)
+        self.refused.withhold(batch, retry_at)
+        return True
+
+    def _withdraw_bindings(self, batch: WriteBatch, retry_at: int) -> None:
+        for task, attempt, machine in batch.bindings:
+            task.job.retry_at = max(task.job.retry_at, retry_at)
+            if task.phase is TaskPhase.BINDING and task.attempt == attempt and task.machine is machine:
+                self.cluster.tasks.requeue(task, lost=False, unexecuted=True)
+        batch.bindings.clear()
+
     def restore_batch(self, batch: WriteBatch) -> None:
         """Returns the contents of a refused or abandoned transaction to the pending writes."""
         self.in_flight_keys = set()
--- a/oatport/service/group_commit.py
+++ b/oatport/service/group_commit.py
@@ -26,6 +26,8 @@
 RETRY_DELAY_STEP, MAX_RETRY_DELAY = 60 * MS, 400 * MS
 READ_RETRY_INTERVAL = 200 * MS
 TOO_MANY_REQUESTS = 429
+REFUSED_RETRY_INTERVAL = 30 * SECOND  # until a record that was refused alone is written again
+MAX_KEYS_LOGGED = 10
 
 
 class GroupCommit:
@@ -105,7 +107,8 @@
             except RequestRefusedError as error:
                 if error.status < TOO_MANY_REQUESTS:
                     log.info('commit was refused fencing_token=%d error="%s"', self._leader.token, error)
-                    self._on_malformed(batch)
+                    if not (failed_attempts and await self._was_applied(batch)):
+                        self._on_malformed(batch)
                     return
                 self._on_refused(error)
             else:
@@ -126,15 +129,25 @@
             log.info('commit was refused fencing_token=%d error="%s"', self._leader.token, error)
 
     def _on_malformed(self, batch: WriteBatch) -> None:
-        if self.cluster.writes.layout.should_split_records or self.cluster.writes.is_value_limit_lowered:
-            self._leader.step_down("the state service refused a transaction as malformed")
-            return
-        # The limits were lowered while a node was unreachable, so it is not known whether that node can read record
-        # parts. Records that are too large are held back until it is known; all others are written.
-        log.error("transaction refused as malformed, large records are held back operations=%d", batch.operation_count)
+        """Handles a refusal that a repetition, also by another leader, would meet again.
+
+        The leader goes on with all other records, since a successor would have to write the same.
+        """
+        writes = self.cluster.writes
         self._commit_started_at = 0
-        self.cluster.writes.is_value_limit_lowered = True
-        self.cluster.writes.restore_batch(batch)
+        keys = ",".join(list(batch.sets)[:MAX_KEYS_LOGGED])
+        if not (writes.layout.should_split_records or writes.is_value_limit_lowered):
+            # The limits were lowered while a node was unreachable, so it is not known whether that node can read record
+            # parts. Records that are too large are held back until it is known; all others are written.
+            log.error(
+                "transaction refused as malformed, large records are held back operations=%d", batch.operation_count
+            )
+            writes.is_value_limit_lowered = True
+            writes.restore_batch(batch)
+        elif writes.on_refused(batch, steady() + REFUSED_RETRY_INTERVAL):
+            log.error("record refused alone, it is withheld keys=%s", keys)
+        else:
+            log.error("transaction refused as malformed, its records are written one by one keys=%s", keys)
 
     async def _on_conflict(self, batch: WriteBatch, failed_keys: tuple[str, ...], failed_attempts: int) -> None:
         if LEADER_KEY in failed_keys:
--- a/oatport/simulation/state_service.py
+++ b/oatport/simulation/state_service.py
@@ -11,8 +11,14 @@
 from urllib.parse import parse_qs
 
 from oatport import wire
+from oatport.simulation.transaction_validation import (
+    LEASE_DURATION_MS,
+    MAX_LISTED_ENTRIES,
+    WATCH_WAIT_MS,
+    entries_of_page,
+    transaction_error,
+)
 from oatport.simulation.virtual_time import Host
-from oatport.sizes import json_size
 from oatport.times import MS, SECOND, seconds
 
 ServiceResponse = tuple[int, Any]
@@ -37,7 +43,7 @@
         self.changed = asyncio.Event()
         self.commit_count = 0
         self.down = False  # no lease expires during an outage
-        self.over_limit_count = 0  # transactions refused for too many operations or too large values
+        self.over_limit_count = 0  # transactions refused for their number of operations, their size or a key
 
     def expire(self) -> None:
         """Ends the leases that have expired. No lease expires during an outage."""
@@ -88,15 +94,17 @@
         """Returns a page of the keys with a prefix, in order, beginning after the key `after`."""
         self.expire()
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        rows = [{"path": k, "value": self.items[k][0], "entryRev": self.items[k][1]} for k in keys[:page]]
-        return 200, {"rows": rows, "hasNext": len(keys) > page, "ledgerRev": self.revision}
+        candidates = keys[: min(page, MAX_LISTED_ENTRIES)]
+        rows = [{"path": k, "value": self.items[k][0], "entryRev": self.items[k][1]} for k in candidates]
+        rows = entries_of_page(rows, page)
+        return 200, {"rows": rows, "hasNext": len(keys) > len(rows), "ledgerRev": self.revision}
 
     def commit(self, body: dict[str, Any]) -> ServiceResponse:
         """Applies a transaction if all its conditions hold; else returns 409 with the keys whose conditions failed."""
         self.expire()
         self.commit_count += 1
         conditions, ops = body.get("if") or [], body.get("then") or []
-        error = self._validation_error(conditions, ops)
+        error = self._validation_error(body, ops)
         if error:
             return 400, {"error": error}
         failed = [row["path"] for row in conditions if self._version(row["path"]) != row["entryRev"]]
@@ -107,21 +115,19 @@
     def _version(self, key: str) -> int:
         return self.items[key][1] if key in self.items else 0
 
-    def _validation_error(self, conditions: Sequence[Any], ops: Sequence[dict[str, Any]]) -> str:
+    def _validation_error(self, body: dict[str, Any], ops: Sequence[dict[str, Any]]) -> str:
         """Returns why a transaction is refused regardless of its conditions; empty if it is valid."""
-        if len(ops) > self.ops_limit or len(conditions) > 4 * self.ops_limit:
+        error = transaction_error(body, self.value_limit, self.ops_limit)
+        if error:
             self.over_limit_count += 1
-            return "too many"
-        for op in ops:
-            if op.get("permit") is not None and op["permit"] not in self.leases:
-                return "no such lease"
-            if "set" in op and json_size(op["value"]) > self.value_limit:
-                self.over_limit_count += 1
-                return "too large"
-        return ""
+            return error
+        has_lease = all(op.get("permit") is None or op["permit"] in self.leases for op in ops)
+        return "" if has_lease else "no such lease"
 
     def grant_lease(self, duration_ms: int) -> ServiceResponse:
-        """Grants a new lease and returns its id."""
+        """Grants a new lease and returns its id; 400 if the duration is out of range."""
+        if duration_ms not in LEASE_DURATION_MS:
+            return 400, {"error": "lifeMs"}
         lease, self._next_lease = self._next_lease, self._next_lease + 1
         self.leases[lease] = (self._clock() + duration_ms * 1000, duration_ms * 1000)
         return 200, {"permit": lease}
@@ -205,9 +211,12 @@
             return self.store.renew_lease(int(path.split("/")[2]))
         options = {key: values[0] for key, values in parse_qs(query).items()}
         if path == wire.WATCH_PATH:
-            return await self._watch(options["under"], int(options["from"]), int(options.get("waitMs", 0)))
+            wait_ms = int(options.get("waitMs", 0))
+            if wait_ms not in WATCH_WAIT_MS:
+                return 400, {"error": "waitMs"}
+            return await self._watch(options["under"], int(options["from"]), wait_ms)
         if path == wire.STORE_PATH:
-            page = min(int(options.get("page", 1000)), 1000)
+            page = int(options.get("page", MAX_LISTED_ENTRIES))
             return self.store.list(options["under"], options.get("from", ""), page)
         return self.store.get(path[len(wire.STORE_PATH) + 1 :])
 
--- a/oatport/wire/__init__.py
+++ b/oatport/wire/__init__.py
@@ -63,6 +63,7 @@
 from oatport.wire.transaction_size import (
     CONDITIONS_PER_OPERATION,
     EMPTY_TRANSACTION_BYTES,
+    MAX_KEY_BYTES,
     MAX_TRANSACTION_BYTES,
     condition_size,
     delete_size,
@@ -98,6 +99,7 @@
     "MACHINES_PATH",
     "MACHINE_TYPES_FIELD",
     "MAX_BODY_BYTES",
+    "MAX_KEY_BYTES",
     "MAX_TRANSACTION_BYTES",
     "PEER_PATH",
     "PUBLIC_TERMINAL_STATUSES",
--- a/oatport/wire/transaction_size.py
+++ b/oatport/wire/transaction_size.py
@@ -7,6 +7,7 @@
 from oatport.sizes import json_size
 
 MAX_TRANSACTION_BYTES = 64 * 1024  # of the whole body of POST /commit
+MAX_KEY_BYTES = 200
 CONDITIONS_PER_OPERATION = 4  # the limit on conditions, in multiples of the limit on operations
 MAX_REVISION = 2**64 - 1  # the largest integer on the wire
 
--- /dev/null
+++ b/tests/test_size_limits.py
@@ -0,0 +1,262 @@
+"""Tests that all that is written and sent keeps PROTOCOL's size limits, and that a refused record stops no other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from oatport import wire
+from oatport.api.submission_batcher import SubmissionBatcher, SubmitOutcome
+from oatport.clients.http import RequestRefusedError
+from oatport.clients.state import Applied
+from oatport.control.limits.rate_limiter import AdaptiveRateLimiter
+from oatport.control.state.task import TaskPhase
+from oatport.control.storage.keys import SCHEMA_VERSION_KEY, blocked_key, job_key, live_key
+from oatport.control.storage.schema_version import SCHEMA_VERSION
+from oatport.service.group_commit import REFUSED_RETRY_INTERVAL
+from oatport.service.leader import Leader
+from oatport.settings import StateLimits, Team
+from oatport.simulation.state_service import KeyStore
+from oatport.sizes import json_size
+from oatport.times import SECOND
+from tests.cluster_fixture import ClusterHarness
+from tests.test_client_consistency import job as submission
+from tests.test_client_consistency import make_api
+from tests.test_node_failures import leader
+
+STATE_LIMITS = StateLimits(rps=150.0, write_rps=60.0, value_kb=32.0, txn_ops=16)
+UNLIMITED_TEAM = [Team("crew")]
+
+
+def harness_with_blocked_jobs(dependents: int, dependencies: int) -> tuple[ClusterHarness, list[str], list[str]]:
+    """Returns a cluster in which each of some jobs waits for all of some others; the ids of both."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    first = [harness.submit(legs=1, cores=0.01, memoryGb=0.01, voyageS=1.0) for _ in range(dependencies)]
+    waiting = [harness.submit(legs=1, cores=0.01, memoryGb=0.01, voyageS=1.0, waitsOn=first) for _ in range(dependents)]
+    return harness, first, waiting
+
+
+# --- transactions -----------------------------------------------------------------------------------
+
+
+def test_cancelled_jobs_with_long_descriptions_are_recorded_in_transactions_of_at_most_64_kib() -> None:
+    """Guards against a transaction of the leader that is refused for its size, which each later leader repeated."""
+    harness, first, waiting = harness_with_blocked_jobs(dependents=10, dependencies=900)
+    harness.cancel(first[0])
+    harness.cluster.dependencies.cancel_dependents(first[0])
+    harness.commit()
+    assert {harness.record(ref) for ref in waiting} == {wire.JobStatus.CANCELLED}
+    assert not [ref for ref in waiting if blocked_key(ref) in harness.state.items]
+
+
+def test_released_jobs_with_long_descriptions_are_bound_in_transactions_of_at_most_64_kib() -> None:
+    """Guards against first bindings that are refused for their size when many jobs are released together."""
+    harness, first, waiting = harness_with_blocked_jobs(dependents=10, dependencies=900)
+    for number in range(1, 4):
+        harness.machine(number)
+    harness.settle(2)
+    for ref in first:
+        harness.cluster.dependencies.on_completion_recorded(ref, harness.now)
+    harness.settle(4)
+    assert {harness.record(ref) for ref in waiting} == {wire.JobStatus.COMPLETED}
+
+
+def test_a_record_with_its_prerequisites_is_split_where_it_exceeds_64_kib() -> None:
+    """Guards against a job whose records fit into the operations of a transaction, but not into its bytes."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    for number in range(1, 3):
+        harness.machine(number)
+    first = [harness.submit(legs=1, cores=0.01, memoryGb=0.01) for _ in range(2)]
+    names = ["m8", *(f"kind-{number:059d}" for number in range(63))]
+    refs = [
+        harness.submit(legs=300, cores=0.01, memoryGb=0.01, berthKinds=names, waitsOn=first, voyageS=3.0)
+        for _ in range(6)
+    ]
+    harness.settle(2)
+    for ref in first:
+        harness.cluster.dependencies.on_completion_recorded(ref, harness.now)
+    harness.settle(8)
+    assert all(len(harness.cluster.jobs[ref].completed) > 100 for ref in refs if ref in harness.cluster.jobs)
+
+
+# --- refused records --------------------------------------------------------------------------------
+
+
+def refuse_key(state: KeyStore, refused_key: str) -> Callable[[], None]:
+    """Has a state service refuse each transaction that sets a key; the returned function ends that."""
+    original = state.commit
+
+    def commit(body: dict[str, Any]) -> tuple[int, Any]:
+        if any(operation.get("set") == refused_key for operation in body["then"]):
+            return 400, {"error": "value too large"}
+        return original(body)
+
+    def end() -> None:
+        state.commit = original  # type: ignore[method-assign]
+
+    state.commit = commit  # type: ignore[method-assign]
+    return end
+
+
+def lead_cluster(harness: ClusterHarness) -> tuple[Leader, list[str]]:
+    """Returns a leader that writes for the harness's cluster state, and the reasons for which it steps down."""
+    lead, _, leading_node = leader(harness.state)
+    lead.cluster = lead.commits.cluster = harness.cluster
+    harness.cluster.fencing_token = lead.token
+    for _ in range(2):  # the workers learn the new token, and then report under it
+        harness.now += SECOND
+        for worker in harness.workers.values():
+            harness.report(worker)
+    return lead, leading_node.step_down_reasons
+
+
+async def commit_all(lead: Leader, harness: ClusterHarness, batches: int = 40) -> None:
+    """Commits the next batches."""
+    for _ in range(batches):
+        batch = harness.cluster.writes.take_batch(harness.max_batch_operations)
+        if batch.operation_count:
+            await lead.commits.commit(batch)
+
+
+async def test_a_job_whose_record_is_refused_stops_no_other_job_under_any_leader() -> None:
+    """Guards against a leader that steps down for a record which each of its successors has to write as well."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    for number in range(1, 4):
+        harness.machine(number)
+    harness.fail_over()
+    harness.settle(2)
+    refused = harness.submit(legs=2, cores=1.0)
+    for _ in range(3):
+        harness.fail_over()
+        others = [harness.submit(legs=1, cores=1.0) for _ in range(3)]
+        end_refusal = refuse_key(harness.state, live_key(refused))
+        lead, step_down_reasons = lead_cluster(harness)
+        harness.plan()
+        assert harness.cluster.jobs[refused].placed_task_count == 2
+        await commit_all(lead, harness)
+        assert not step_down_reasons
+        assert not harness.cluster.jobs[refused].placed_task_count  # its capacity is free for others
+        assert all(task.phase is TaskPhase.BOUND for ref in others for task in harness.cluster.jobs[ref].tasks.values())
+        harness.plan()
+        assert not harness.cluster.jobs[refused].placed_task_count  # not placed again at once
+        end_refusal()
+
+
+async def test_a_withheld_record_is_written_once_the_state_service_takes_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an accepted job that never runs because its record was refused for a while."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    harness.machine(1)
+    harness.settle(2)
+    monkeypatch.setattr("oatport.service.group_commit.steady", lambda: harness.now)
+    lead, step_down_reasons = lead_cluster(harness)
+    ref = harness.submit(legs=1)
+    end_refusal = refuse_key(harness.state, live_key(ref))
+    harness.plan()
+    await commit_all(lead, harness)
+    end_refusal()
+    assert harness.cluster.jobs[ref].retry_at == harness.now + REFUSED_RETRY_INTERVAL
+    harness.settle(3)
+    assert not harness.cluster.jobs[ref].placed_task_count
+    harness.step(REFUSED_RETRY_INTERVAL / SECOND)
+    harness.settle(2)
+    assert harness.task_locations(ref)
+    assert not step_down_reasons
+
+
+async def test_a_refused_completion_keeps_its_task_on_record_until_it_is_written() -> None:
+    """Guards against a completion that is neither recorded nor pending, whose task would run again."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    harness.machine(1)
+    harness.settle(2)
+    ref = harness.submit(legs=1, voyageS=5.0)
+    other = harness.submit(legs=1, cores=0.5, voyageS=5.0)
+    harness.settle(2)
+    end_refusal = refuse_key(harness.state, job_key(ref))
+    lead, step_down_reasons = lead_cluster(harness)
+    harness.now += 6 * SECOND
+    for worker in harness.workers.values():
+        harness.report(worker)
+    await commit_all(lead, harness)
+    assert not step_down_reasons
+    assert harness.record(other) == wire.JobStatus.COMPLETED
+    assert harness.record(ref) == wire.JobStatus.QUEUED
+    machine = next(iter(harness.cluster.machines.values()))
+    assert harness.cluster.completions.has_unwritten_completions(machine)
+    end_refusal()
+
+
+async def test_a_submission_that_the_state_service_refuses_stops_no_other_one() -> None:
+    """Guards against a batch of submissions that is refused for one of them, as often as they are retried."""
+
+    class State:
+        async def commit(self, conditions: dict[str, int], sets: dict[str, Any], *, timeout_us: int) -> Applied:
+            if job_key("j-000002") in sets:
+                raise RequestRefusedError(400)
+            await asyncio.sleep(0)
+            return Applied(7)
+
+    batcher = SubmissionBatcher(State(), 12, AdaptiveRateLimiter(60.0, 3))  # type: ignore[arg-type]
+    results = await asyncio.gather(*(batcher.submit(f"j-00000{n}", {"job": {}}) for n in range(1, 5)))
+    outcomes = [result.outcome for result in results]
+    assert outcomes == [SubmitOutcome.CREATED, SubmitOutcome.REFUSED, SubmitOutcome.CREATED, SubmitOutcome.CREATED]
+
+
+async def test_submissions_are_committed_in_transactions_of_at_most_64_kib() -> None:
+    """Guards against a batch whose size is counted as CBOR, while the state service counts JSON."""
+    sizes: list[int] = []
+
+    class State:
+        async def commit(self, conditions: dict[str, int], sets: dict[str, Any], *, timeout_us: int) -> Applied:
+            request = wire.transaction_request(conditions, sets, [], None)
+            sizes.append(json_size(request))
+            await asyncio.sleep(0)
+            return Applied(7)
+
+    batcher = SubmissionBatcher(State(), 16, AdaptiveRateLimiter(600.0, 3))  # type: ignore[arg-type]
+    record = {"job": {"text": "\x01" * 1_500}}  # six times as long as JSON
+    await asyncio.gather(*(batcher.submit(f"j-{n:06d}", record) for n in range(24)))
+    assert len(sizes) > 1
+    assert max(sizes) <= wire.MAX_TRANSACTION_BYTES
+
+
+async def test_a_description_that_fits_no_value_is_refused_unless_the_job_was_accepted() -> None:
+    """Guards against a job that is turned away for ever with 503, or accepted without room for its tasks' record."""
+    state = KeyStore(lambda: 0)
+    api, client, _ = make_api(state)
+    texts = {"hull": "\x01" * 200, "cargo": "\x01" * 200}  # 2.4 KB as JSON
+    assert (await api.submit(submission(**texts))).status == 201
+    api._max_record_bytes = 2048
+    assert (await api.submit(submission(**texts))).status == 200  # accepted under larger limits
+    refused = await api.submit(submission("j-000002", **texts))
+    assert (refused.status, client.faults) == (400, [])
+
+
+# --- the models refuse what PROTOCOL says is refused ------------------------------------------------
+
+
+def test_the_simulated_state_service_refuses_what_exceeds_a_limit() -> None:
+    state = KeyStore(lambda: 0, value_limit=32 * 1024, ops_limit=16)
+    large = [{"set": f"key-{n}", "value": "x" * 30_000} for n in range(3)]
+    assert state.commit({"then": large[:2]})[0] == 200
+    assert state.commit({"then": large}) == (400, {"error": "transaction too large"})
+    for key in ("", "a b", "k" * 201):
+        assert state.commit({"then": [{"set": key, "value": 1}]})[0] == 400
+    assert state.commit({"if": [{"path": f"k{n}", "entryRev": 0} for n in range(65)]})[0] == 400
+    assert [state.grant_lease(duration_ms)[0] for duration_ms in (99, 100, 600_000, 600_001)] == [400, 200, 200, 400]
+    for n in range(40):
+        state.commit({"then": [{"set": f"page/{n:02d}", "value": "x" * 30_000}]})
+    listed = state.list("page/")[1]
+    assert listed["hasNext"]
+    assert json_size(listed["rows"]) <= 512 * 1024
