Simulation: bodies and requests to the cloud have PROTOCOL's limits, and a scenario reaches them

Change: nodes and workers refuse requests of more than 64 KiB as JSON (413), responses to workers and users of that size are dropped, and the cloud refuses more than 50 machines to rent or 100 to release; each refusal is a violation. The scenario size-limits has jobs with long lists that are released or cancelled together, and arrays of small tasks on few machines, with an end of the leader or lost responses in some.

--- a/oatport/simulation/cloud_service.py
+++ b/oatport/simulation/cloud_service.py
@@ -14,6 +14,8 @@
 from oatport.simulation.virtual_time import Host
 from oatport.times import MS, micros, seconds
 
+MAX_RENTED, MAX_RELEASED = 50, 100  # machines in one request
+
 ServiceResponse = tuple[int, Any]
 Offering = tuple[str, str, bool]  # machine type, zone, spot
 
@@ -29,6 +31,7 @@
         self.on_rent: Callable[[dict[str, Any]], None] = lambda machine: None
         self.on_release: Callable[[str], None] = lambda name: None
         self.rented_count = 0
+        self.malformed_count = 0  # requests beyond the limits on machines
 
     def catalog(self) -> dict[str, Any]:
         """Returns the machine types as the cloud's catalog lists them."""
@@ -45,6 +48,9 @@
 
         A repeated request id returns the machines of the first request.
         """
+        if not 0 < body["howMany"] <= MAX_RENTED:
+            self.malformed_count += 1
+            return 400, {"error": "howMany"}
         if body["charter"] in self.requests:
             return 200, {"berths": self.requests[body["charter"]]}
         offering = (body["berthKind"], body["harbor"], body["driftwood"])
@@ -72,6 +78,9 @@
 
     def release(self, body: dict[str, Any]) -> ServiceResponse:
         """Removes machines from the registry; unknown names are ignored."""
+        if len(body["berths"]) > MAX_RELEASED:
+            self.malformed_count += 1
+            return 400, {"error": "berths"}
         for name in body["berths"]:
             if self.machines.pop(name, None) is not None:
                 self.on_release(name)
--- a/oatport/simulation/fault_plan.py
+++ b/oatport/simulation/fault_plan.py
@@ -57,6 +57,8 @@
     # Repeated submissions, cancellations of completed jobs, and jobs that can't run or lack a field.
     "odd_requests": (),
     "singles": ("amount",),  # amount: single-task jobs per second, a quarter of which are cancelled
+    "long_lists": ("count", "amount"),  # count: jobs that wait for `amount` others; for_s > 0: until one is cancelled
+    "small_tasks": ("count",),  # count: tasks of an array, far more than a heartbeat can list fit on a machine
     "quick_boots": (),  # new machines boot within two seconds
     "late_repeats": ("amount",),  # copies of executed requests arrive later; amount: maximum delay in seconds
 }
--- a/oatport/simulation/faults/users.py
+++ b/oatport/simulation/faults/users.py
@@ -24,6 +24,8 @@
         self.handlers: Handlers = {
             "rush": self.ignore_workload_fault,
             "singles": self.ignore_workload_fault,
+            "long_lists": self.ignore_workload_fault,
+            "small_tasks": self.ignore_workload_fault,
             "users_cancel": self.cancel_unfinished_jobs,
             "cancel_now": self.cancel_running_jobs,
             "cancel_needed": self.cancel_dependencies,
--- a/oatport/simulation/machine_host.py
+++ b/oatport/simulation/machine_host.py
@@ -10,6 +10,7 @@
 from oatport import wire
 from oatport.clients.http import NoResponseError
 from oatport.settings import Workers
+from oatport.simulation.body_limits import BodyLimits
 from oatport.simulation.network import SimulatedNetwork
 from oatport.simulation.virtual_time import Host
 from oatport.simulation.worker import Worker
@@ -43,7 +44,7 @@
         worker.on_change = self._schedule_wake
         # Called when a node has responded to a heartbeat, with the node's name and the attempts in the heartbeat.
         self.on_heartbeat_answered: Callable[[str, list[dict[str, Any]]], None] = lambda node, attempts: None
-        net.listen(worker.address, host, self._serve)
+        net.listen(worker.address, host, self._serve, BodyLimits(request=wire.MAX_BODY_BYTES))
 
     def start(self) -> None:
         """Starts sending heartbeats."""
--- a/oatport/simulation/network.py
+++ b/oatport/simulation/network.py
@@ -20,6 +20,7 @@
 
 from oatport import wire
 from oatport.clients.http import NoResponseError, RequestNotSentError
+from oatport.simulation.body_limits import BodyLimits, is_larger
 from oatport.simulation.virtual_time import Host, VirtualLoop
 from oatport.times import MS, SECOND
 
@@ -81,6 +82,8 @@
         self._rng = random.Random(seed)
         self._links: dict[tuple[Host, Host], BrokerConnection] = {}
         self._listeners: dict[str, tuple[Host, RequestHandler]] = {}
+        self._limits: dict[str, BodyLimits] = {}  # of the bodies at each listening address
+        self.oversized_count = 0  # requests and responses that exceeded a limit
         self._hosts: dict[str, Host] = {}  # by address, including hosts that do not listen
         # Loop times until which the kept-alive connections are usable, by host and address.
         self._idle: dict[tuple[Host, str], deque[float]] = {}
@@ -102,10 +105,11 @@
         """Assigns an address to a host that need not listen on it."""
         self._hosts[address] = host
 
-    def listen(self, address: str, host: Host, serve: RequestHandler) -> None:
-        """Starts serving an address with a host's request handler."""
+    def listen(self, address: str, host: Host, serve: RequestHandler, limits: BodyLimits | None = None) -> None:
+        """Starts serving an address with a host's request handler; larger requests get 413."""
         self._hosts[address] = host
         self._listeners[address] = (host, serve)
+        self._limits[address] = limits or BodyLimits()
 
     def on_process_ended(self, host: Host) -> None:
         """Resets the connections of a process that ended; its ports refuse connections from then on."""
@@ -270,18 +274,26 @@
         if listener is None or listener[0] is not host:
             return
         if self.denied_routes and (source.name, address) in self.denied_routes:
-            self._reply(host, source, (503, None), pending)
+            self._reply(host, source, (503, None), pending, None)
             return
-        try:
-            value = listener[1](method, target, wire.decode(data) if data else None)
-        except wire.InvalidMessageError:
-            value = (400, None)
+        value = self._call_listener(address, listener[1], method, target, data)
         if inspect.isawaitable(value):
             self._requests_in_progress.setdefault(host, {})[pending] = source
-            task = self.loop.create_task(self._reply_when_ready(host, source, value, pending), context=host.context)
+            reply = self._reply_when_ready(host, source, value, pending, self._limits[address].response)
+            task = self.loop.create_task(reply, context=host.context)
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
             return
-        self._reply(host, source, value, pending)
+        self._reply(host, source, value, pending, self._limits[address].response)
+
+    def _call_listener(self, address: str, serve: RequestHandler, method: str, target: str, data: bytes | None) -> Any:
+        limits = self._limits[address]
+        if data and is_larger(data, limits.request):
+            self.oversized_count += 1
+            return 413, None
+        try:
+            return serve(method, target, wire.decode(data) if data else None)
+        except wire.InvalidMessageError:
+            return 400, None
 
     def _duplicate(self, source: Host, address: str, method: str, target: str, data: bytes | None) -> None:
         """Sends a copy of a request later: heartbeats go to any node, other requests to the same address.
@@ -317,14 +329,22 @@
         pending = PendingRequest(self.loop.create_future())  # the response is discarded
         self._transmit(source, host, lambda: self._serve(source, host, address, method, target, data, pending))
 
-    async def _reply_when_ready(self, host: Host, source: Host, value: Any, pending: PendingRequest) -> None:
+    async def _reply_when_ready(
+        self, host: Host, source: Host, value: Any, pending: PendingRequest, limit: int | None
+    ) -> None:
         try:
-            self._reply(host, source, await value, pending)
+            self._reply(host, source, await value, pending, limit)
         finally:
             self._requests_in_progress.get(host, {}).pop(pending, None)
 
-    def _reply(self, host: Host, source: Host, value: tuple[int, Any], pending: PendingRequest) -> None:
+    def _reply(
+        self, host: Host, source: Host, value: tuple[int, Any], pending: PendingRequest, limit: int | None
+    ) -> None:
+        """Sends a response; its receiver drops one that is too large."""
         raw = b"" if value[1] is None else wire.encode(value[1])
+        if raw and is_larger(raw, limit):
+            self.oversized_count += 1
+            return
 
         def deliver() -> None:
             if not pending.future.done():
--- a/oatport/simulation/node_network.py
+++ b/oatport/simulation/node_network.py
@@ -10,6 +10,7 @@
 from oatport import wire
 from oatport.api.server import BodyTooLargeError, Handler, Response
 from oatport.clients.http import ConnectionReuse
+from oatport.simulation.body_limits import BodyLimits
 from oatport.simulation.network import SimulatedNetwork
 from oatport.simulation.virtual_time import Host
 
@@ -30,8 +31,8 @@
 class _Body:
     """Holds a request body, with the interface of `api.server.BodyReader`."""
 
-    def __init__(self, value: Any, limit: int) -> None:
-        self._value, self._limit = value, limit
+    def __init__(self, value: Any) -> None:
+        self._value = value
 
     async def read(self) -> Any:
         """Returns the decoded body. Raises InvalidMessageError if there is none."""
@@ -80,14 +81,16 @@
         self._net, self._host, self._address, self._handler, self._limit = net, host, address, handler, limit
 
     async def start(self) -> None:
-        self._net.listen(self._address, self._host, self._serve)
+        # Responses have the same limit where users and workers are served; those between nodes have none.
+        response_limit = self._limit if self._limit == wire.MAX_BODY_BYTES else None
+        self._net.listen(self._address, self._host, self._serve, BodyLimits(self._limit, response_limit))
 
     async def close(self) -> None:
         pass
 
     async def _serve(self, method: str, path: str, body: Any) -> tuple[int, Any]:
         try:
-            response = await self._handler(method, path, _Body(body, self._limit))  # type: ignore[arg-type]
+            response = await self._handler(method, path, _Body(body))  # type: ignore[arg-type]
         except BodyTooLargeError:
             response = Response(413)
         except wire.InvalidMessageError as error:
--- a/oatport/simulation/runner.py
+++ b/oatport/simulation/runner.py
@@ -21,6 +21,7 @@
 from oatport.simulation.quota_scenarios import quota_plan
 from oatport.simulation.scenario_generator import random_plan, rolling_upgrade_plan, unreachable_machines_plan
 from oatport.simulation.simulation import RunResult, Simulation
+from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_outage_scenario import state_outage_plan
 
 # Smallest share of the time in which some team must be at its limit; with a smaller share a run hardly tests limits.
@@ -37,6 +38,7 @@
     "state-outage": state_outage_plan,
     "fault-interactions": fault_interaction_plan,
     "quota": quota_plan,
+    "size-limits": size_limit_plan,
 }
 
 
--- a/oatport/simulation/simulation.py
+++ b/oatport/simulation/simulation.py
@@ -15,6 +15,7 @@
 from oatport.simulation.load_balancer import LoadBalancer
 from oatport.simulation.service_statistics import ServiceStatistics
 from oatport.simulation.simulated_deployment import SimulatedDeployment
+from oatport.simulation.size_limit_scenario import size_limit_jobs
 from oatport.simulation.submitted_job import SubmittedJob
 from oatport.simulation.users import User
 from oatport.times import SECOND
@@ -119,6 +120,10 @@
         over_limit = deployed.store.over_limit_count
         if over_limit and SCHEMA_VERSION_KEY in deployed.store.items:
             checker.violations.append(f"over_limit: {over_limit} values or transactions were too large")
+        if deployed.net.oversized_count:
+            checker.violations.append(f"over_limit: {deployed.net.oversized_count} bodies were too large")
+        if deployed.cloud.registry.malformed_count:
+            checker.violations.append(f"over_limit: {deployed.cloud.registry.malformed_count} requests to the cloud")
         return RunResult(
             self.seed,
             checker.violations,
@@ -150,7 +155,7 @@
             "rentals": deployed.cloud.request_counts["rentals"],
             "machines_rented": deployed.cloud.registry.rented_count,
             "turns": deployed.loop.callback_count,
-            "over_limit": deployed.store.over_limit_count,
+            "over_limit": deployed.store.over_limit_count + deployed.net.oversized_count,
             "gate_early": self._gate_opened_early,
         }
 
@@ -205,7 +210,8 @@
     def _generate_jobs(self) -> list[SubmittedJob]:
         begin_at = self.deployed.loop.time() + workload.FIRST_SUBMISSION_S
         jobs = workload.generate_jobs(self.plan, random.Random(f"jobs {self.seed}"), begin_at)
-        return jobs + workload.generate_pipelines(self.plan, random.Random(f"pipelines {self.seed}"), begin_at)
+        jobs += workload.generate_pipelines(self.plan, random.Random(f"pipelines {self.seed}"), begin_at)
+        return jobs + size_limit_jobs(self.plan, random.Random(f"size limits {self.seed}"), self.deployed.loop.time())
 
     def _start_user(self, job: SubmittedJob, balancer: LoadBalancer) -> None:
         deployed = self.deployed
