Placement: a machine gets no more attempts than its heartbeats can list

Cause: only CPUs, GPUs and memory bounded the tasks of a machine. A worker lists all its attempts in each report, a report of 2,000 is larger than 64 KiB, and each node answers it with 413, so the lease is never renewed.

Commands to one machine are bounded to what fits into one message; a start is never sent without its stop.

--- a/oatport/control/scaling/capacity_slot.py
+++ b/oatport/control/scaling/capacity_slot.py
@@ -19,23 +19,24 @@
     cpus: float
     gpus: float
     memory_gb: float
+    attempts: int
     position: int = 0  # among all slots, in the order in which they are used
 
     @classmethod
     def of(cls, machine_type: wire.MachineType, zone: str, spot: bool) -> CapacitySlot:
         """Returns the slot of an empty machine."""
-        return cls(machine_type, zone, spot, machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+        capacity = (machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+        return cls(machine_type, zone, spot, *capacity, wire.MAX_ATTEMPTS_PER_MACHINE)
 
     @classmethod
     def free_on(cls, machine: Machine) -> CapacitySlot:
         """Returns a slot with the capacity that is free on a machine now."""
-        return cls(
-            machine.type, machine.zone, machine.spot, machine.free_cpus, machine.free_gpus, machine.free_memory_gb
-        )
+        capacity = (machine.free_cpus, machine.free_gpus, machine.free_memory_gb)
+        return cls(machine.type, machine.zone, machine.spot, *capacity, machine.free_attempts)
 
     def free_slots(self, spec: wire.Submission) -> int:
         """Returns how many more tasks of a job fit."""
-        return task_slots(spec, self.cpus, self.gpus, self.memory_gb)
+        return task_slots(spec, self.cpus, self.gpus, self.memory_gb, self.attempts)
 
     def reserve(self, spec: wire.Submission, limit: int) -> int:
         """Reserves capacity for up to `limit` tasks; returns for how many it sufficed."""
@@ -43,4 +44,5 @@
         self.cpus -= count * spec.cpus
         self.gpus -= count * spec.gpus
         self.memory_gb -= count * spec.memory_gb
+        self.attempts -= count
         return count
--- a/oatport/control/state/capacity.py
+++ b/oatport/control/state/capacity.py
@@ -1,13 +1,16 @@
-"""Bin packing of tasks of one size: how many tasks of a job fit into given capacity or into a machine type."""
+"""Bin packing of tasks of one size: how many tasks of a job fit into given capacity or into a machine type.
+
+Besides CPUs, GPUs and memory a machine has a number of attempts: as many as a heartbeat of the largest size can list.
+"""
 
 from __future__ import annotations
 
 from oatport import wire
 
 
-def task_slots(spec: wire.Submission, cpus: float, gpus: float, memory_gb: float) -> int:
+def task_slots(spec: wire.Submission, cpus: float, gpus: float, memory_gb: float, attempts: int) -> int:
     """Returns how many tasks of a job fit into the given free capacity."""
-    count = int((cpus + 1e-9) // spec.cpus)
+    count = min(int((cpus + 1e-9) // spec.cpus), attempts)
     if spec.gpus > 0:
         count = min(count, int((gpus + 1e-9) // spec.gpus))
     if spec.memory_gb > 0:
@@ -17,7 +20,8 @@
 
 def task_slots_when_empty(machine_type: wire.MachineType, spec: wire.Submission) -> int:
     """Returns how many tasks of a job fit on an empty machine of a type."""
-    return task_slots(spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+    attempts = wire.MAX_ATTEMPTS_PER_MACHINE
+    return task_slots(spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb, attempts)
 
 
 def max_tasks_per_zone(spec: wire.Submission) -> int:
--- a/oatport/control/state/machine.py
+++ b/oatport/control/state/machine.py
@@ -100,11 +100,21 @@
             spec.cpus <= self.free_cpus + 1e-9
             and spec.gpus <= self.free_gpus + 1e-9
             and spec.memory_gb <= self.free_memory_gb + 1e-9
+            and self.free_attempts > 0
         )
 
+    @property
+    def free_attempts(self) -> int:
+        """Returns how many more attempts the machine's heartbeats can list.
+
+        An attempt counts until a heartbeat no longer lists it, so also after it has terminated.
+        """
+        listed_count = len(self.tasks) + len(self.terminated_attempts) + len(self.orphaned_attempts)
+        return wire.MAX_ATTEMPTS_PER_MACHINE - listed_count
+
     def free_slots(self, spec: wire.Submission) -> int:
         """Returns how many tasks of a job fit into the free capacity."""
-        return task_slots(spec, self.free_cpus, self.free_gpus, self.free_memory_gb)
+        return task_slots(spec, self.free_cpus, self.free_gpus, self.free_memory_gb, self.free_attempts)
 
     def free_slots_without(self, tasks: list[Task], spec: wire.Submission) -> int:
         """Returns how many tasks of a job would fit into the free capacity without the given tasks of the machine."""
@@ -113,6 +123,7 @@
             self.free_cpus + sum(t.job.spec.cpus for t in tasks),
             self.free_gpus + sum(t.job.spec.gpus for t in tasks),
             self.free_memory_gb + sum(t.job.spec.memory_gb for t in tasks),
+            self.free_attempts + len(tasks),
         )
 
     def is_incoming(self, now: int, token: int) -> bool:
--- a/oatport/control/state/machine_commands.py
+++ b/oatport/control/state/machine_commands.py
@@ -23,25 +23,32 @@
         self.cluster = cluster
 
     def for_machine(self, machine: Machine, now: int, *, direct: bool) -> tuple[list[wire.Command], list[Task]]:
-        """Returns the commands due for a machine, and the tasks that they start. `direct`: not a heartbeat response."""
+        """Returns the commands due for a machine, and the tasks that they start. `direct`: not a heartbeat response.
+
+        At most as many as fit into one message; the others are due again with the next one.
+        """
         commands: list[wire.Command] = []
         starts: list[Task] = []
         confirmed = machine.fencing_token == self.cluster.fencing_token
         for task in machine.tasks:
             if task.phase is not TaskPhase.BOUND:
                 continue
-            if self._is_start_due(task, now, direct=direct, confirmed=confirmed):
+            is_start_due = self._is_start_due(task, now, direct=direct, confirmed=confirmed)
+            if len(commands) + is_start_due + (task.stop_grace_s is not None) > wire.MAX_COMMANDS_PER_MESSAGE:
+                break  # a start is never sent without the stop that follows it
+            if is_start_due:
                 commands.append(wire.StartCommand(task.name, task.attempt))
                 starts.append(task)
             if task.stop_grace_s is not None:
                 commands.append(wire.StopCommand(task.name, task.attempt, task.stop_grace_s))
-        for name, attempt in machine.orphaned_attempts:
-            commands.append(wire.StopCommand(name, attempt, 0.0))
+        commands += [wire.StopCommand(name, attempt, 0.0) for name, attempt in machine.orphaned_attempts]
         if confirmed:
-            for name, attempt in machine.terminated_attempts:
-                if self._may_forget(machine, name, attempt):
-                    commands.append(wire.ForgetCommand(name, attempt))
-        return commands, starts
+            commands += [
+                wire.ForgetCommand(name, attempt)
+                for name, attempt in machine.terminated_attempts
+                if self._may_forget(machine, name, attempt)
+            ]
+        return commands[: wire.MAX_COMMANDS_PER_MESSAGE], starts
 
     def _is_start_due(self, task: Task, now: int, *, direct: bool, confirmed: bool) -> bool:
         """Returns whether a task's start is to be sent or repeated. `confirmed`: the newest heartbeat has our token."""
--- a/oatport/wire/__init__.py
+++ b/oatport/wire/__init__.py
@@ -16,6 +16,7 @@
     rented_machines,
 )
 from oatport.wire.codec import CBOR_CONTENT_TYPE, MAX_BODY_BYTES, InvalidMessageError, decode, encode
+from oatport.wire.message_limits import MAX_ATTEMPTS_PER_MACHINE, MAX_COMMANDS_PER_MESSAGE
 from oatport.wire.paths import (
     CATALOG_PATH,
     COMMANDS_PATH,
@@ -98,7 +99,9 @@
     "LEASES_PATH",
     "MACHINES_PATH",
     "MACHINE_TYPES_FIELD",
+    "MAX_ATTEMPTS_PER_MACHINE",
     "MAX_BODY_BYTES",
+    "MAX_COMMANDS_PER_MESSAGE",
     "MAX_KEY_BYTES",
     "MAX_TRANSACTION_BYTES",
     "PEER_PATH",
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -13,16 +13,20 @@
 from oatport.clients.http import RequestRefusedError
 from oatport.clients.state import Applied
 from oatport.control.limits.rate_limiter import AdaptiveRateLimiter
+from oatport.control.scaling.capacity_slot import CapacitySlot
+from oatport.control.state.capacity import task_slots_when_empty
 from oatport.control.state.task import TaskPhase
 from oatport.control.storage.keys import SCHEMA_VERSION_KEY, blocked_key, job_key, live_key
 from oatport.control.storage.schema_version import SCHEMA_VERSION
 from oatport.service.group_commit import REFUSED_RETRY_INTERVAL
 from oatport.service.leader import Leader
 from oatport.settings import StateLimits, Team
+from oatport.simulation.runner import RunRequest, run_scenario
+from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_service import KeyStore
 from oatport.sizes import json_size
 from oatport.times import SECOND
-from tests.cluster_fixture import ClusterHarness
+from tests.cluster_fixture import TYPES, ClusterHarness
 from tests.test_client_consistency import job as submission
 from tests.test_client_consistency import make_api
 from tests.test_node_failures import leader
@@ -71,7 +75,7 @@
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
     harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
     harness.fail_over()
-    for number in range(1, 3):
+    for number in range(1, 7):
         harness.machine(number)
     first = [harness.submit(legs=1, cores=0.01, memoryGb=0.01) for _ in range(2)]
     names = ["m8", *(f"kind-{number:059d}" for number in range(63))]
@@ -260,3 +264,70 @@
     listed = state.list("page/")[1]
     assert listed["hasNext"]
     assert json_size(listed["rows"]) <= 512 * 1024
+
+
+# --- messages to and from workers -------------------------------------------------------------------
+
+
+def test_a_machine_gets_no_more_tasks_than_its_heartbeats_can_list() -> None:
+    """Guards against heartbeats of more than 64 KiB, which no node takes: the lease expired with all tasks there."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    worker = harness.machine(1)
+    harness.settle(2)
+    ref = harness.submit(legs=1_200, cores=0.003, memoryGb=0.005, voyageS=3.0)
+    largest = 0
+    for _ in range(60):
+        harness.step(1.0)
+        largest = max(largest, len(worker.tasks))
+        assert json_size(worker.report()) <= wire.MAX_BODY_BYTES
+        if harness.record(ref) == wire.JobStatus.COMPLETED:
+            break
+    assert harness.record(ref) == wire.JobStatus.COMPLETED
+    assert largest == wire.MAX_ATTEMPTS_PER_MACHINE  # as many as can be listed
+
+
+def test_commands_for_one_machine_fit_into_a_message_and_the_others_follow() -> None:
+    """Guards against a request to a worker, or a response, of more than 64 KiB."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.machine(1)
+    harness.settle(2)
+    harness.unreachable_machines.add("vm-000001")
+    ref = harness.submit(ref=f"j-{1:062d}", legs=1_200, cores=0.003, memoryGb=0.005, voyageS=300.0)
+    harness.plan()
+    harness.commit()
+    harness.send()  # starts that may be in flight: each is repeated together with a stop
+    harness.cancel(ref, notify_leader=False)
+    harness.cluster.job_lifecycle.cancel(ref, harness.state.revision, harness.now)
+    machine = harness.cluster.machines["vm-000001"]
+    harness.now += 2 * SECOND
+    commands, starts = harness.cluster.commands.for_machine(machine, harness.now, direct=True)
+    assert len(starts) > wire.MAX_COMMANDS_PER_MESSAGE // 2 - 2
+    started = {(command.task_name, command.attempt) for command in commands if isinstance(command, wire.StartCommand)}
+    stopped = {(command.task_name, command.attempt) for command in commands if isinstance(command, wire.StopCommand)}
+    assert started == stopped == {(task.name, task.attempt) for task in starts}
+    body = wire.command_request(2**64 - 1, 2**64 - 1, commands)
+    assert json_size(body) <= wire.MAX_BODY_BYTES
+    harness.unreachable_machines.clear()
+    harness.settle(6)
+    assert not harness.cluster.machines["vm-000001"].tasks
+    assert not harness.task_locations(ref)
+
+
+def test_scale_out_counts_no_more_tasks_for_a_machine_than_it_can_list() -> None:
+    """Guards against too few machines for small tasks, which then wait although their team is under its limit."""
+    spec = submission(legs=5_000, cores=0.003, memoryGb=0.005)
+    assert task_slots_when_empty(TYPES["m8"], spec) == wire.MAX_ATTEMPTS_PER_MACHINE
+    slot = CapacitySlot.of(TYPES["m8"], "a", spot=False)
+    assert slot.reserve(spec, 5_000) == wire.MAX_ATTEMPTS_PER_MACHINE
+    assert slot.free_slots(submission(cores=0.003)) == 0
+
+
+# --- whole deployments ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_deployments_at_the_size_limits_serve_all_jobs(seed: int) -> None:
+    """Guards against any request, response or transaction that is refused for its size, and the loss of the lead."""
+    result = run_scenario(RunRequest(plan=size_limit_plan(seed)), seed)
+    assert not result.violations
+    assert not result.errors
