Deferred starts: the recorded plan and the record of prices fit into one value

Cause: the record of a job was laid out for its description and task rows and a constant of 288 bytes "including a deferral", but a deferral has some 22 bytes for each time at which tasks start: up to 432 times. The record of prices and run time margins had the same fault: 240 hours and 200 ratios a class, whatever the limit.

Change: a deferral gets the bytes that its record has left; neighbouring times are merged, and all their tasks may start from the earlier one, so no task becomes late. The prices and margins recorded are as many as fit.

--- a/oatport/control/storage/batch_builder.py
+++ b/oatport/control/storage/batch_builder.py
@@ -253,7 +253,9 @@
             return None  # its keys are deleted with the job
         layout = self.writes.layout
         low, high = layout.task_span(job, key)
-        return encode_live_job(job, high) if key == live_key(job_id) else encode_tasks(job, low, high)
+        if key == live_key(job_id):
+            return encode_live_job(job, high, layout.max_value_bytes)
+        return encode_tasks(job, low, high)
 
     def _put(self, key: str, value: Any, max_bytes: int) -> None:
         """Adds a key with its value, or its deletion, or nothing if there is nothing to write."""
--- a/oatport/control/storage/job_records.py
+++ b/oatport/control/storage/job_records.py
@@ -20,8 +20,10 @@
 
 from oatport import wire
 from oatport.control.state.job import CompactSpec, DeferredStart, Job
+from oatport.sizes import json_size
 
 ROW_COMPLETED = -1  # row of a completed task
+DEFERRAL_FIELD = "hold"
 ROW_NEVER_BOUND = 0  # row of a task that was never bound; trailing rows of this kind are omitted
 
 
@@ -68,7 +70,7 @@
     tier: str | UnsetType = UNSET
     loss_count: int = field(name="lost", default=0)
     errors: int = 0
-    deferral: DeferredStartRecord | UnsetType = field(name="hold", default=UNSET)
+    deferral: DeferredStartRecord | UnsetType = field(name=DEFERRAL_FIELD, default=UNSET)
 
 
 class LiveRecord(JobRecord, kw_only=True):
@@ -82,7 +84,7 @@
     # When the last of its dependencies completed, if that is later than its submission.
     eligible_at: int | UnsetType = field(name="from", default=UNSET)
     errors: int | UnsetType = UNSET  # errors since its last completed task, if the job is suspected faulty
-    deferral: DeferredStartRecord | UnsetType = field(name="hold", default=UNSET)
+    deferral: DeferredStartRecord | UnsetType = field(name=DEFERRAL_FIELD, default=UNSET)
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,9 +163,12 @@
     return encode_job(job, state) | {"ended": completed_at}
 
 
-def encode_live_job(job: Job, task_count: int) -> dict[str, Any]:
-    """Returns the value of `live/JOB` from the first binding on: the job with its first `task_count` tasks."""
-    return _encode(
+def encode_live_job(job: Job, task_count: int, max_bytes: int) -> dict[str, Any]:
+    """Returns the value of `live/JOB` from the first binding on: the job with its first `task_count` tasks.
+
+    The plan of a deferral gets what is left of `max_bytes` (of JSON), however many times it has.
+    """
+    value = _encode(
         LiveRecord(
             state=wire.JobStatus.QUEUED,
             submitted_at=job.submitted_at,
@@ -178,6 +183,9 @@
             deferral=UNSET if job.deferral is None else _encode_deferral(job.deferral, job.start_limit),
         )
     )
+    if job.deferral is not None:
+        _fit_deferral(value, max_bytes)
+    return value
 
 
 def encode_description(job: Job) -> dict[str, Any]:
@@ -227,6 +235,22 @@
     )
 
 
+def _fit_deferral(value: dict[str, Any], max_bytes: int) -> None:
+    """Makes the deferral in a record so small that the record has at most `max_bytes`, if that is possible.
+
+    Neighbouring times of the plan are merged, and all their tasks may start from the earlier one: no task becomes late,
+    but the next leader knows the plan less exactly. The reason, which is for operators, is left out if need be.
+    """
+    deferral = value[DEFERRAL_FIELD]
+    plan, rows_merged = deferral["plan"], 1
+    while json_size(value) > max_bytes and rows_merged < len(plan):
+        rows_merged *= 2
+        groups = [plan[first : first + rows_merged] for first in range(0, len(plan), rows_merged)]
+        deferral["plan"] = [[group[0][0], sum(count for _, count in group)] for group in groups]
+    if json_size(value) > max_bytes:
+        deferral["why"] = ""
+
+
 def _describe(spec: wire.Submission) -> dict[str, Any]:
     description: dict[str, Any] = msgspec.to_builtins(spec)
     if spec.dependencies is None:
--- a/oatport/control/storage/record_layout.py
+++ b/oatport/control/storage/record_layout.py
@@ -32,7 +32,8 @@
 from oatport.sizes import json_size
 
 RECORD_OVERHEAD_BYTES = 96  # of a record, besides its rows
-HEAD_RECORD_OVERHEAD_BYTES = 288  # of a job's head record, besides its description and rows; includes a deferral
+# Of a job's head record, besides its description and rows; includes a deferral of one time (`job_records` fits others).
+HEAD_RECORD_OVERHEAD_BYTES = 288
 # Of a transaction with two records, besides their values: keys, and the conditions on these, a job and the leader.
 RECORD_PAIR_OVERHEAD_BYTES = (
     wire.EMPTY_TRANSACTION_BYTES
--- a/oatport/service/window_controller.py
+++ b/oatport/service/window_controller.py
@@ -9,6 +9,7 @@
 from oatport.control.state.job import Job
 from oatport.service.leader_context import LeaderContext
 from oatport.service.network import Network
+from oatport.sizes import json_size
 from oatport.times import SECOND, micros, steady, time_of_day
 from oatport.windows.client import FeedClient
 from oatport.windows.holding import DayClock, DeferralManager
@@ -55,8 +56,11 @@
             self.deferrals.on_job_added(job, now)
 
     def record(self) -> dict[str, Any]:
-        """Returns the record to store: the price series and the learnt margins."""
-        return {"book": self.book.record(self.wall()), **self.deferrals.record()}
+        """Returns the record to store, which fits into one value: the learnt margins and the price series."""
+        max_bytes = self._leader.cluster.writes.layout.max_value_bytes
+        value = self.deferrals.record(max_bytes // 2)
+        envelope_bytes = json_size({"book": None})
+        return {"book": self.book.record(self.wall(), max_bytes - json_size(value) - envelope_bytes), **value}
 
     def start(self) -> None:
         """Starts the window loop and, if a price feed is configured, its client."""
--- a/oatport/windows/holding.py
+++ b/oatport/windows/holding.py
@@ -14,6 +14,7 @@
 from oatport.control.state.cluster_state import ClusterState
 from oatport.control.state.job import DeferredStart, Job, JobKind
 from oatport.control.state.task import TaskPhase
+from oatport.sizes import json_size
 from oatport.times import SECOND, micros, seconds
 from oatport.windows.margins import RuntimeMargins
 from oatport.windows.planner import JobDemand, Plan, Planner
@@ -383,9 +384,10 @@
             "an earlier hour gets cheaper or has room, or the price series gets too old to count",
         }
 
-    def record(self) -> dict[str, Any]:
-        """Returns the record of the run time margins for the next leader."""
-        return {"margins": self.margins.record()}
+    def record(self, max_bytes: int) -> dict[str, Any]:
+        """Returns the run time margins for the next leader, in at most `max_bytes` of JSON."""
+        envelope_bytes = json_size({"margins": {}})
+        return {"margins": self.margins.record(max_bytes - envelope_bytes)}
 
     def load_record(self, value: Any) -> None:
         """Restores the run time margins from an earlier leader's record."""
--- a/oatport/windows/margins.py
+++ b/oatport/windows/margins.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from oatport.sizes import json_size
+
 MAX_RATIOS = 200  # stored per class
 SUFFICIENT_RATIOS = 20  # below this number PRIOR_FACTOR counts as well
 PRIOR_FACTOR = 3.0  # a task may take three times as long as predicted
@@ -51,9 +53,19 @@
         """Returns whether any completion was recorded."""
         return bool(self._ratios)
 
-    def record(self) -> dict[str, list[float]]:
-        """Returns the ratios by class, as `load` accepts them."""
-        return {name: [round(ratio, 3) for ratio in ratios] for name, ratios in self._ratios.items()}
+    def record(self, max_bytes: int) -> dict[str, list[float]]:
+        """Returns the newest ratios by class in at most `max_bytes` of JSON, as `load` accepts them.
+
+        Each class keeps the same number; classes are left out only if one ratio of each does not fit.
+        """
+        rounded = {name: [round(ratio, 3) for ratio in ratios] for name, ratios in self._ratios.items()}
+        kept_count = MAX_RATIOS
+        while json_size(rounded) > max_bytes and kept_count > 1:
+            kept_count //= 2
+            rounded = {name: ratios[-kept_count:] for name, ratios in rounded.items()}
+        while json_size(rounded) > max_bytes and rounded:
+            rounded.popitem()
+        return rounded
 
     def load(self, value: Any) -> None:
         """Restores the ratios from a record; skips classes whose ratios are invalid."""
--- a/oatport/windows/prices.py
+++ b/oatport/windows/prices.py
@@ -15,9 +15,11 @@
 from typing import Any
 
 from oatport.errors import OatportError
+from oatport.sizes import json_size
 from oatport.times import SECOND
 
 MAX_INTERVALS = 2_000
+MAX_RECORDED_INTERVALS = 240
 MAX_INTERVAL_LENGTH = 2 * 86_400 * SECOND
 MAX_PRICE = 1e6
 MAX_CLOCK_SKEW = 300 * SECOND  # a series made later than this means that one of the two clocks is wrong
@@ -156,10 +158,21 @@
 
     # --- record in the state service --------------------------------------------------------------
 
-    def record(self, now: int, max_rows: int = 240) -> dict[str, Any]:
-        """Returns the record for the next leader: the last known prices of the coming hours."""
-        rows = [row for row in self.rows if row.end > now][:max_rows]
-        return {"read": self.read_at, "rows": [[r.start, r.end, r.price, r.co2, r.read_at] for r in rows]}
+    def record(self, now: int, max_bytes: int) -> dict[str, Any]:
+        """Returns the record for the next leader: the last known prices of the coming hours, the next ones first.
+
+        It has at most MAX_RECORDED_INTERVALS, and no more than fit into `max_bytes` of JSON.
+        """
+        coming = [row for row in self.rows if row.end > now][:MAX_RECORDED_INTERVALS]
+        value: dict[str, Any] = {"read": self.read_at, "rows": []}
+        available_bytes = max_bytes - json_size(value)
+        for row in coming:
+            terms = [row.start, row.end, row.price, row.co2, row.read_at]
+            available_bytes -= json_size(terms) + 1
+            if available_bytes < 0:
+                break
+            value["rows"].append(terms)
+        return value
 
     def load(self, value: Any, now: int) -> None:
         """Restores the prices from a record; an invalid record counts as none."""
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -14,10 +14,12 @@
 from oatport.control.queueing.capacity_pools import pools_by_type
 from oatport.control.queueing.queue_wait import QueueWaitEstimator
 from oatport.control.state.job import Job
+from oatport.control.storage.keys import live_key
 from oatport.lab.windows import run
 from oatport.service.window_controller import WINDOWS_KEY, WindowController
 from oatport.settings import SettingsError, Team, load_tuning
 from oatport.simulation.state_service import KeyStore
+from oatport.sizes import json_size
 from oatport.times import SECOND, time_of_day
 from oatport.windows.client import FeedClient
 from oatport.windows.feed import decode_series, encode_series
@@ -502,3 +504,45 @@
     assert main(["lab", "windows", "--jobs", "0"]) == 2
     assert main(["lab", "windows", "--html", str(tmp_path / "no" / "such.html"), "--jobs", "5"]) == 2
     assert len(capsys.readouterr().err.splitlines()) == 2
+
+
+# --- records of at most one value -----------------------------------------------------------------
+
+
+def test_the_plan_of_a_deferred_array_fits_the_value_limit_and_makes_no_task_later() -> None:
+    """Guards against a plan of many times that the state service refuses, as after it lowered its limits."""
+    fixture = DeferralFixture(100.0, *(50.0 + hour * 7 % 13 for hour in range(1, 40)), capacity=400.0)
+    fixture.harness.state.value_limit = 2048
+    fixture.harness.cluster.writes.layout.max_value_bytes = 2048
+    fixture.harness.cluster.writes.layout.should_split_records = True
+    job = fixture.submit(legs=9_000, tideS=130_000.0)
+    assert job.deferral is not None
+    assert len(job.deferral.plan) > 80
+    fixture.harness.commit()
+    record = fixture.harness.state.items[live_key(job.job_id)][0]
+    assert json_size(record) <= 2048
+    recorded = record["hold"]["plan"]
+    assert sum(count for _, count in recorded) == job.spec.task_count
+    for until, _ in job.deferral.plan:
+        planned = sum(count for at, count in job.deferral.plan if at <= until)
+        assert sum(count for at, count in recorded if at <= until) >= planned
+    fixture.fail_over()
+    assert fixture.harness.cluster.jobs[job.job_id].deferred == job.spec.task_count
+
+
+def test_the_record_of_prices_and_margins_fits_the_value_limit() -> None:
+    """Guards against a record that grows with the feed and with the job classes until no leader can write it."""
+    series = book(*(100.0 + hour for hour in range(1_000)))
+    margins = RuntimeMargins()
+    for number in range(30):
+        for _ in range(200):
+            margins.on_task_completed(f"class-{number}", 1_234_567, 1_000_000)
+    for limit in (2_048, 8_192, 32_768):
+        assert json_size(series.record(DAY, limit)) <= limit
+        assert json_size(margins.record(limit)) <= limit
+        assert len(series.record(DAY, limit)["rows"]) >= min(240, limit // 100)
+        assert len(margins.record(limit)) == 30
+    restored = RuntimeMargins()
+    restored.load(margins.record(8_192))
+    assert restored.factor("class-7") == pytest.approx(margins.factor("class-7"), rel=0.5)
+    assert len(margins.record(40)) == 2
