Releases: at most 100 machines in a request

Cause (found on the list of what grows with the fleet, not by a case): machines that the cloud no longer lists are released in one request, however many they are. The cloud takes 100 names; beyond that it refuses the request. As read, scale-in then repeats these releases, 100 at a time, so what ran there waits longer than it need.

Change: a release is sent in requests of at most 100 names; a refused one leaves the rest to the next attempt.

Measured: the new test with 250 machines fails before and passes now.

--- a/oatport/control/scaling/scale_in.py
+++ b/oatport/control/scaling/scale_in.py
@@ -12,7 +12,7 @@
 from oatport.control.state.machine import Machine
 from oatport.times import micros
 
-MACHINES_PER_RELEASE = 100
+MACHINES_PER_RELEASE = 100  # PROTOCOL, POST /hosts/release
 PENDING_TASKS_COUNTED = 50  # maximum per job when the need for owned machines is estimated
 PARTITIONED_BOOT_PATIENCE = 2  # boot times after which a machine in a partitioned zone counts as failed
 SLOW_MACHINE_FACTOR = 2.5  # ratio of observed to predicted run time above which an idle machine is returned at once
--- a/oatport/service/cloud_controller.py
+++ b/oatport/service/cloud_controller.py
@@ -10,6 +10,7 @@
 from oatport.clients.http import NoResponseError, RequestRefusedError, jitter
 from oatport.control.scaling.capacity_planner import CapacityPlanner
 from oatport.control.scaling.cloud_availability import ScaleOutRequest
+from oatport.control.scaling.scale_in import MACHINES_PER_RELEASE
 from oatport.control.state.machine import Machine
 from oatport.service.catalog import UNLIMITED_VALUE_BYTES, RecordedCatalog, read_catalog, write_catalog
 from oatport.service.failure_detector import FailureDetector
@@ -133,14 +134,21 @@
         if not machines:
             self._leader.wake()
             return
+        for first in range(0, len(machines), MACHINES_PER_RELEASE):
+            if not await self._send_release(machines[first : first + MACHINES_PER_RELEASE], reason):
+                return
+            self._leader.wake()
+
+    async def _send_release(self, machines: list[Machine], reason: str) -> bool:
+        """Releases as many machines as one request may name, and returns whether the cloud confirmed it."""
         for machine in machines:
             machine.releasing = True
         try:
             await self.cloud.release([m.name for m in machines])
         except (NoResponseError, RequestRefusedError) as error:
             log.info('release failed count=%d error="%s"', len(machines), error)
-            return
+            return False
         now = steady()
         for machine in machines:
             self.cluster.on_machine_removed(machine, now, reason)
-        self._leader.wake()
+        return True
--- a/tests/test_node_failures.py
+++ b/tests/test_node_failures.py
@@ -12,7 +12,7 @@
 
 from oatport import wire
 from oatport.api.heartbeat_api import handle_heartbeat
-from oatport.clients.http import NoResponseError
+from oatport.clients.http import NoResponseError, RequestRefusedError
 from oatport.control.scaling.cloud_availability import ScaleOutRequest
 from oatport.control.storage.fleet_records import recorded_machine_types
 from oatport.control.storage.keys import CATALOG_KEY, LEADER_KEY
@@ -25,6 +25,8 @@
 from oatport.service.node import Node
 from oatport.service.reachability import PeerSurvey
 from oatport.settings import Tuning
+from oatport.simulation.cloud_service import MachineRegistry
+from oatport.simulation.deployment import CATALOG
 from oatport.simulation.state_service import KeyStore
 from oatport.times import SECOND, steady, time_of_day
 from tests.cluster_fixture import TYPES, FakeStateClient, UnreachableNetwork, node_settings
@@ -176,6 +178,25 @@
     assert await survey(lead) == PeerSurvey(None, False)
 
 
+async def test_more_machines_than_a_request_may_name_are_released_in_several(state: KeyStore) -> None:
+    """Guards against a refused release after many machines were lost at once: their tasks would run nowhere again."""
+    lead, _, _ = leader(state)
+    registry = MachineRegistry(CATALOG, 250)
+    names = [registry.add("m8", "a", spot=True) for _ in range(250)]
+
+    async def release(machine_names: list[str]) -> None:
+        status, value = registry.release({"berths": machine_names})
+        if status != 200:
+            raise RequestRefusedError(status, value)
+
+    lead.cloud_controller.cloud.release = release  # type: ignore[method-assign]
+    for name in names:
+        lead.cluster.add_machine(name, "m8", "a", True, "h:1", steady(), time_of_day())
+    await lead.cloud_controller.release(list(lead.cluster.machines.values()), "taken")
+    assert not lead.cluster.machines
+    assert not registry.machines
+
+
 async def test_in_an_outage_tasks_keep_running_but_none_starts(state: KeyStore) -> None:
     lead, client, _ = leader(state)
     now = steady()
