Queues: the gateway's batches are bounded as JSON, and a refused row stops no other one

Cause (from the list of what grows with what users submit): a batch was bounded by an estimate of its values' sizes, 512 bytes or the message's length, while the state service counts JSON; and one refused row failed its whole batch, as often as the senders' messages were delivered again.

Change: the sizes of the changes are counted as the state service counts them, and a refused batch is committed row by row.

Measured: the new test (one row of 120 KB among nine) fails before, with all nine changes failed, and passes now.

--- a/oatport/queues/gateway.py
+++ b/oatport/queues/gateway.py
@@ -300,6 +300,6 @@
                             and 0 < row.delivered_at < time_of_day() - DELIVERED_ROW_RETENTION
                         ):
                             key = part_prefix(part) + row.job_id
-                            await self.store.change(key, None, {key: version, part_key(part): token}, 100)
+                            await self.store.change(key, None, {key: version, part_key(part): token})
                 except StoreUnavailableError:
                     break
--- a/oatport/queues/intake.py
+++ b/oatport/queues/intake.py
@@ -112,7 +112,7 @@
         except InvalidMessageError as error:
             reason = str(error)
             row = row.with_answer(AnswerKind.REFUSED, reason)
-        version = await self._store.change(row_key(job_id), row.encode(), {row_key(job_id): 0}, 400 + len(message.body))
+        version = await self._store.change(row_key(job_id), row.encode(), {row_key(job_id): 0})
         if version:
             self._on_row_written(row, version)
             return row, version, reason
--- a/oatport/queues/store.py
+++ b/oatport/queues/store.py
@@ -19,8 +19,8 @@
 
 BATCHING_WINDOW_S = 0.004  # changes are collected into a batch for this long
 MAX_PENDING_CHANGES = 5_000
-MAX_BATCH_BYTES = 40 * 1024  # of values; the protocol's 64 KiB per transaction include keys and conditions
 MAX_COMMIT_TRIES = 6
+TOO_MANY_REQUESTS = 429
 
 
 class StoreUnavailableError(OatportError):
@@ -32,9 +32,14 @@
     conditions: dict[str, int]
     key: str
     value: Any  # None: delete the key
-    size: int
     outcome: asyncio.Future[int] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
 
+    @property
+    def transaction_bytes(self) -> int:
+        """Returns the bytes by which a transaction grows for this change."""
+        size = wire.delete_size(self.key) if self.value is None else wire.set_size(self.key, self.value)
+        return size + sum(wire.condition_size(key, revision) for key, revision in self.conditions.items())
+
 
 class Store:
     """Batches changes into transactions. A change whose conditions fail does not affect the others of its batch."""
@@ -48,11 +53,11 @@
         self._commit_task: asyncio.Task[None] | None = None
         self.write_count = self.request_count = 0  # operations and requests, for the cost per message
 
-    async def change(self, key: str, value: Any, conditions: dict[str, int], size: int = 512) -> int:
+    async def change(self, key: str, value: Any, conditions: dict[str, int]) -> int:
         """Writes or deletes a key. Returns the revision; 0 if a condition fails. Raises StoreUnavailableError."""
         if len(self._pending) >= MAX_PENDING_CHANGES:
             raise StoreUnavailableError("too many changes are pending")
-        change = _PendingChange(conditions, key, value, size)
+        change = _PendingChange(conditions, key, value)
         self._pending.append(change)
         if self._commit_task is None or self._commit_task.done():
             self._commit_task = asyncio.get_running_loop().create_task(self._commit_pending())
@@ -90,13 +95,13 @@
         while self._pending:
             batch: list[_PendingChange] = []
             keys: set[str] = set()
-            size = 0
+            size = wire.EMPTY_TRANSACTION_BYTES
             while self._pending and len(batch) < self._txn_ops:
                 change = self._pending[0]
-                if change.key in keys or (batch and size + change.size > MAX_BATCH_BYTES):
+                size += change.transaction_bytes
+                if change.key in keys or (batch and size > wire.MAX_TRANSACTION_BYTES):
                     break
                 keys.add(change.key)
-                size += change.size
                 batch.append(self._pending.pop(0))
             try:
                 await self._commit(batch)
@@ -134,9 +139,10 @@
                 # The same transaction is repeated. If an earlier attempt of unknown outcome was applied, its own
                 # conditions fail now, and the caller reads the current row.
                 failures += 1
-                if failures >= MAX_COMMIT_TRIES or (
-                    isinstance(error, RequestRefusedError) and 400 <= error.status < 429
-                ):
+                if isinstance(error, RequestRefusedError) and error.status < TOO_MANY_REQUESTS:
+                    await self._commit_one_by_one(batch)
+                    return
+                if failures >= MAX_COMMIT_TRIES:
                     return
                 await asyncio.sleep(jitter(min(50 * MS << failures, SECOND)))
                 continue
@@ -147,6 +153,12 @@
             self._resolve(failed or batch, 0)
             batch = [c for c in batch if not c.outcome.done()]
 
+    async def _commit_one_by_one(self, batch: list[_PendingChange]) -> None:
+        """Commits each change of a refused batch alone, so that a row that is refused stops no other one."""
+        if len(batch) > 1:
+            for change in batch:
+                await self._commit([change])
+
 
 def decode_row(key: str, value: Any, version: int) -> tuple[MessageRow, int] | None:
     """Returns a decoded row and its version; None if it is malformed, which is logged, as only gateways write rows."""
--- a/tests/test_amqp_queues.py
+++ b/tests/test_amqp_queues.py
@@ -32,7 +32,7 @@
 from oatport.queues.outbox import RECONCILE_INTERVAL, Outbox
 from oatport.queues.rows import MessageRow, RowState, answer_of_record, part_key, row_key
 from oatport.queues.settings import GatewaySettings, QueueSettings, load_gateway_settings
-from oatport.queues.store import Store
+from oatport.queues.store import Store, StoreUnavailableError
 from oatport.queues.templates import InvalidMessageError, Template
 from oatport.settings import SettingsError
 from oatport.simulation.state_service import KeyStore
@@ -266,6 +266,17 @@
     assert harness.scheduler.submitted == [job_id_of("moves", "m-1")]
 
 
+async def test_a_row_that_the_state_service_refuses_stops_no_other_row() -> None:
+    """Guards against a batch of the gateway that is refused for one row, with the messages of all others."""
+    harness = GatewayHarness()
+    rows = {f"q/00/j-{n}": {"text": "\x01" * (20_000 if n == 2 else 1_500)} for n in range(9)}  # six times as JSON
+    changes = [harness.store.change(key, value, {key: 0}) for key, value in rows.items()]
+    results = await asyncio.gather(*changes, return_exceptions=True)
+    refused = [n for n, result in enumerate(results) if isinstance(result, StoreUnavailableError)]
+    assert refused == [2]
+    assert [key for key in rows if key in harness.state.items] == [key for key in rows if key != "q/00/j-2"]
+
+
 async def test_a_crash_before_the_submission_is_repaired_by_the_part_owner() -> None:
     harness = GatewayHarness()
     job_id = job_id_of("moves", "m-1")
