Job progress: updates between nodes keep the limit on their bodies

Cause (from the list of what grows with what users submit): every ten seconds the leader sends the other nodes the counts of all unfinished jobs in one message. From some size on they answer 413, and the counts that users see at those nodes stand still.

Change: an update is sent in parts of at most 4,000 jobs.

Measured: the test's 10,000 jobs with the longest ids make one message of 1100015 bytes; nodes take 1 MiB from each other.

--- a/oatport/service/job_progress_publisher.py
+++ b/oatport/service/job_progress_publisher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Iterator
 
 from oatport import wire
 from oatport.clients.http import NoResponseError
@@ -13,6 +14,7 @@
 from oatport.service.leader_context import LeaderContext
 
 INTERVAL_S = 1.0
+MAX_JOBS_PER_UPDATE = 4_000  # so many of the longest ids and counts fit into a message between nodes
 FULL_UPDATE_ROUNDS = 10  # rounds between full updates, for nodes that were restarted and have no counts
 
 
@@ -30,9 +32,9 @@
             await asyncio.sleep(INTERVAL_S)
             rounds += 1
             update = self._collect(full=rounds % FULL_UPDATE_ROUNDS == 0)
-            if update.changed or update.removed:
+            for part in split_update(update):
                 for peer in self._leader.node.peers.values():
-                    self._leader.background.spawn("job progress", _notify(peer, update))
+                    self._leader.background.spawn("job progress", _notify(peer, part))
 
     def _collect(self, *, full: bool) -> JobProgressUpdate:
         """Updates this node's counts, and returns the changes to send to the other nodes."""
@@ -51,6 +53,14 @@
         return JobProgressUpdate(changed, removed)
 
 
+def split_update(update: JobProgressUpdate) -> Iterator[JobProgressUpdate]:
+    """Yields the parts of an update, each of at most MAX_JOBS_PER_UPDATE changed and removed jobs."""
+    changed = list(update.changed.items())
+    for first in range(0, max(len(changed), len(update.removed)), MAX_JOBS_PER_UPDATE):
+        last = first + MAX_JOBS_PER_UPDATE
+        yield JobProgressUpdate(dict(changed[first:last]), update.removed[first:last])
+
+
 def _completed_and_running(job: Job) -> tuple[int, int]:
     running = sum(
         1 for task in job.tasks.values() if task.status in (wire.TaskStatus.RUNNING, wire.TaskStatus.CHECKPOINTING)
--- a/tests/test_node_failures.py
+++ b/tests/test_node_failures.py
@@ -179,7 +179,7 @@
 
 
 async def test_more_machines_than_a_request_may_name_are_released_in_several(state: KeyStore) -> None:
-    """Guards against a refused release after many machines were lost at once: their tasks would run nowhere again."""
+    """Guards against a refused release after many machines were lost at once, whose tasks then wait."""
     lead, _, _ = leader(state)
     registry = MachineRegistry(CATALOG, 250)
     names = [registry.add("m8", "a", spot=True) for _ in range(250)]
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -18,8 +18,11 @@
 from oatport.control.state.task import TaskPhase
 from oatport.control.storage.keys import SCHEMA_VERSION_KEY, blocked_key, job_key, live_key
 from oatport.control.storage.schema_version import SCHEMA_VERSION
+from oatport.peer_messages import JobProgressUpdate
 from oatport.service.group_commit import REFUSED_RETRY_INTERVAL
+from oatport.service.job_progress_publisher import split_update
 from oatport.service.leader import Leader
+from oatport.service.node import MAX_PEER_BODY_BYTES
 from oatport.settings import StateLimits, Team
 from oatport.simulation.runner import RunRequest, run_scenario
 from oatport.simulation.size_limit_scenario import size_limit_plan
@@ -322,6 +325,17 @@
     assert slot.free_slots(submission(cores=0.003)) == 0
 
 
+def test_progress_updates_between_nodes_keep_the_limit_on_their_bodies() -> None:
+    """Guards against counts that stop reaching the other nodes once there are many unfinished jobs."""
+    job_ids = [f"j-{number:062d}" for number in range(10_000)]
+    update = JobProgressUpdate(dict.fromkeys(job_ids, (100_000, 100_000)), job_ids[:5_000])
+    parts = list(split_update(update))
+    assert {job_id: counts for part in parts for job_id, counts in part.changed.items()} == update.changed
+    assert [job_id for part in parts for job_id in part.removed] == update.removed
+    assert max(len(wire.encode(part.encode())) for part in parts) <= MAX_PEER_BODY_BYTES
+    assert list(split_update(JobProgressUpdate({}, []))) == []
+
+
 # --- whole deployments ------------------------------------------------------------------------------
 
 
