Planner of cheaper hours: four modules instead of one of 528 lines

The slots with their prices and free capacity are in horizon.py, the search of one job's plan in plan_search.py, what is planned in plan.py; planner.py keeps the plans of all jobs (359 lines). What it does is the same. The tests name the horizon's attributes where they named the planner's private ones; their assertions are otherwise unchanged.

--- a/oatport/windows/holding.py
+++ b/oatport/windows/holding.py
@@ -17,7 +17,8 @@
 from oatport.sizes import json_size
 from oatport.times import SECOND, micros, seconds
 from oatport.windows.margins import RuntimeMargins
-from oatport.windows.planner import JobDemand, Plan, Planner
+from oatport.windows.plan import JobDemand, Plan
+from oatport.windows.planner import Planner
 from oatport.windows.prices import PriceBook
 from oatport.windows.settings import Deferral, WindowSettings
 
@@ -307,7 +308,7 @@
             (deferral.price, deferral.carbon) for _, deferral in (*self.settings.classes, *self.settings.priorities)
         }
         for price, carbon in sorted(weights):
-            costs = self.book.slot_costs(wall // planner.step, planner.slots, planner.step, wall, price, carbon)
+            costs = self.book.slot_costs(wall // planner.step, planner.horizon.slots, planner.step, wall, price, carbon)
             planner.set_prices(self._profile(price, carbon), [round(cost, 2) for cost in costs])
 
     def _update_upcoming_starts(self, wall: int) -> None:
--- a/oatport/windows/planner.py
+++ b/oatport/windows/planner.py
@@ -8,8 +8,7 @@
 - A plan never costs more than an immediate start at the prices it was made with; otherwise the job starts immediately.
 - Jobs compete for capacity. A job that finds none before its latest start displaces jobs that can start later.
 - Planning is incremental: a new job is planned on its own. A price change marks the affected jobs as dirty, and
-  `replan_dirty` plans a few of them per call, those with the earliest start first. `operation_count` counts the slots
-  and jobs examined.
+  `replan_dirty` plans a few of them per call, those with the earliest start first.
 """
 
 from __future__ import annotations
@@ -17,46 +16,15 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
+
+from oatport.windows.horizon import Horizon
+from oatport.windows.plan import EPSILON, JobDemand, Plan
+from oatport.windows.plan_search import MIN_SAVING, PlanSearch
 
 MAX_DISPLACEMENT_CANDIDATES = 16  # jobs that may be displaced for one job without free capacity
 MAX_EARLY_STARTS = 500  # jobs started earlier than planned, per slot
-MIN_SAVING = 0.01  # share of the cost; deferring a job for less is not worth the risk
 DEMAND_FACTORS = (0.5, 1.0, 1.5, 2.0, 3.0)  # of the expected work; underestimating costs more than overestimating
-EPSILON = 1e-9
-
-
-@dataclass(frozen=True, slots=True)
-class JobDemand:
-    """Describes the unstarted work of a job: `task_count` tasks, each of which takes `cpus` CPUs for `runtime` us."""
-
-    job_id: str
-    cpus: float
-    task_count: int
-    runtime: int
-    latest_start: int  # the latest safe start, us of the time of day
-    profile: str = ""  # the unit costs that apply, one profile per pair of price and carbon weights
-    delay_penalty: float = 0.0  # cost of waiting until the latest start, as a share of the immediate cost
-
-
-@dataclass(slots=True)
-class Plan:
-    """Holds the planned starts of a job's tasks, their cost and the reason for the choice."""
-
-    demand: JobDemand
-    starts: dict[int, int] = field(default_factory=dict)  # slot number -> tasks that start in it
-    cost: float = 0.0
-    immediate_cost: float = 0.0
-    reason: str = ""
-    is_overcommitted: bool = False  # some tasks found no free capacity before the latest start
-    move_count: int = 0
-
-    @property
-    def saving(self) -> float:
-        """Returns the share of the cost of an immediate start that the plan saves."""
-        return (
-            (self.immediate_cost - self.cost) / abs(self.immediate_cost) if abs(self.immediate_cost) > EPSILON else 0.0
-        )
 
 
 class Planner:
@@ -67,56 +35,36 @@
     """
 
     def __init__(self, step: int, slots: int, capacity: float) -> None:
-        if step <= 0 or slots < 2 or capacity <= 0:
-            raise ValueError(f"expected step > 0, slots >= 2, capacity > 0; got {step}, {slots}, {capacity}")
-        self.step = step
-        self.slots = slots
-        self.capacity = capacity
-        self.now = 0
+        self.horizon = Horizon(step, slots, capacity)
         self.plans: dict[str, Plan] = {}
-        self.operation_count = 0
-        self._first_slot = 0  # number of the first slot of the horizon
-        self._free_capacity: list[float] = [capacity * step] * slots  # CPU-us free in each slot of the horizon
+        self._search = PlanSearch(self.horizon)
         self._tasks_by_slot: dict[int, dict[str, int]] = {}
-        self._unit_costs: dict[str, list[float]] = {}  # price profile -> cost of a CPU-us in each slot
-        # (profile, slots a task takes) -> slots to start in, cheapest first
-        self._slots_by_cost: dict[tuple[str, int], list[int]] = {}
         self._dirty: dict[str, None] = {}
         self._latest_starts: list[tuple[int, str]] = []
 
+    @property
+    def step(self) -> int:
+        """Returns the length of a slot in microseconds."""
+        return self.horizon.step
+
+    @property
+    def now(self) -> int:
+        """Returns the time to which the horizon was last moved."""
+        return self.horizon.now
+
     # --- time and prices --------------------------------------------------------------------------
 
     def advance_to(self, now: int) -> None:
-        """Moves the horizon to a time: drops the slots that have passed and appends new ones with full capacity."""
-        self.now = max(self.now, now)
-        first = self.now // self.step
-        if first <= self._first_slot:
-            return
-        expired = min(first - self._first_slot, self.slots)
-        self._free_capacity = self._free_capacity[expired:] + [self.capacity * self.step] * expired
-        for profile, costs in self._unit_costs.items():
-            self._unit_costs[profile] = costs[expired:] + [1.0] * expired
-        self._first_slot = first
-        self._slots_by_cost.clear()
+        """Moves the horizon to a time."""
+        self.horizon.advance_to(now)
 
     def set_prices(self, profile: str, costs: list[float]) -> None:
         """Sets a profile's cost of CPU time in each slot from the current one on, in multiples of the ordinary price.
 
         Jobs that a changed cost affects are marked as dirty.
         """
-        previous = self._unit_costs.get(profile)
-        costs = (costs + [1.0] * self.slots)[: self.slots]
-        if previous == costs:
-            return
-        if previous is not None:
-            pairs = enumerate(zip(previous, costs, strict=True), self._first_slot)
-            changed = {slot for slot, (a, b) in pairs if abs(a - b) > EPSILON}
-            increased = {slot for slot in changed if costs[slot - self._first_slot] > previous[slot - self._first_slot]}
-            decreased = changed - increased
-            self._mark_dirty(profile, increased, decreased)
-        self._unit_costs[profile] = costs
-        for key in [key for key in self._slots_by_cost if key[0] == profile]:
-            del self._slots_by_cost[key]
+        change = self.horizon.set_costs(profile, costs)
+        self._mark_dirty(profile, change.increased, change.decreased)
 
     def _mark_dirty(self, profile: str, increased: set[int], decreased: set[int]) -> None:
         """Marks the jobs in slots whose cost increased and the jobs that could move to slots whose cost decreased."""
@@ -129,10 +77,10 @@
             for job_id, plan in self.plans.items():
                 if (
                     plan.demand.profile == profile
-                    and self._last_slot(plan.demand) >= earliest
+                    and self.horizon.last_slot(plan.demand) >= earliest
                     and job_id not in self._dirty
                 ):
-                    self.operation_count += 1
+                    self.horizon.operation_count += 1
                     self._dirty[job_id] = None
 
     # --- jobs ------------------------------------------------------------------------------------
@@ -143,9 +91,9 @@
         Other jobs move only if this job finds no free capacity before its latest start.
         """
         self.remove(demand.job_id)
-        plan = self._make_plan(demand)
+        plan = self._search.make_plan(demand)
         if plan.is_overcommitted and self._displace_jobs(demand):
-            plan = self._make_plan(demand)
+            plan = self._search.make_plan(demand)
         self._insert(plan)
         return plan
 
@@ -158,7 +106,7 @@
 
     def quote(self, demand: JobDemand) -> Plan:
         """Returns the plan that a job would get, without storing it."""
-        return self._make_plan(demand)
+        return self._search.make_plan(demand)
 
     def update_demand(self, job_id: str, demand: JobDemand) -> None:
         """Replaces a job's demand, for a changed latest start or run time, and marks a plan that exceeds it as dirty.
@@ -169,15 +117,16 @@
         self._detach(plan)
         plan.demand = demand
         self._insert(plan)
-        if max(plan.starts, default=0) > max(self._last_slot(demand), self._first_slot):
+        if max(plan.starts, default=0) > max(self.horizon.last_slot(demand), self.horizon.first_slot):
             self._dirty[job_id] = None
 
     def restore(self, demand: JobDemand, starts: dict[int, int], reason: str) -> Plan:
         """Inserts a plan that an earlier leader recorded, with its starts unchanged, and returns it."""
         self.remove(demand.job_id)
         plan = Plan(demand, dict(starts), reason=reason)
-        plan.cost = sum(count * self._task_cost(demand, max(slot, self._first_slot)) for slot, count in starts.items())
-        plan.immediate_cost = demand.task_count * self._task_cost(demand, self._first_slot)
+        first = self.horizon.first_slot
+        plan.cost = sum(count * self.horizon.task_cost(demand, max(slot, first)) for slot, count in starts.items())
+        plan.immediate_cost = demand.task_count * self.horizon.task_cost(demand, first)
         self._insert(plan)
         return plan
 
@@ -201,7 +150,7 @@
             plan = self.plans.get(job_id)
             if plan is not None and plan.demand.latest_start <= self.now:  # the latest start overrides the plan
                 due[job_id] = sum(plan.starts.values())
-        for slot in [slot for slot in self._tasks_by_slot if slot <= self._first_slot]:
+        for slot in [slot for slot in self._tasks_by_slot if slot <= self.horizon.first_slot]:
             for job_id, count in self._tasks_by_slot[slot].items():
                 if job_id not in due:
                     due[job_id] = due.get(job_id, 0) + count
@@ -224,9 +173,11 @@
                     del jobs_in_slot[job_id]
                 if not jobs_in_slot:
                     del self._tasks_by_slot[slot]
-            if slot > self._first_slot and part:  # earlier than planned: move the reservation to the current slot
-                self._release_capacity(plan.demand, slot, part)
-                self._release_capacity(plan.demand, self._first_slot, -part)
+            if (
+                slot > self.horizon.first_slot and part
+            ):  # earlier than planned: move the reservation to the current slot
+                self.horizon.release_capacity(plan.demand, slot, part)
+                self.horizon.release_capacity(plan.demand, self.horizon.first_slot, -part)
         plan.starts = {slot: n for slot, n in plan.starts.items() if n}
         if not plan.starts:
             del self.plans[job_id]
@@ -253,9 +204,9 @@
             if job_id in frozen_ids:
                 continue
             self._detach(old)
-            new = self._make_plan(old.demand)
-            current_cost = sum(n * self._task_cost(old.demand, slot) for slot, n in old.starts.items())
-            is_too_late = max(old.starts) > max(self._last_slot(old.demand), self._first_slot)
+            new = self._search.make_plan(old.demand)
+            current_cost = sum(n * self.horizon.task_cost(old.demand, slot) for slot, n in old.starts.items())
+            is_too_late = max(old.starts) > max(self.horizon.last_slot(old.demand), self.horizon.first_slot)
             saves_enough = current_cost - new.cost > MIN_SAVING * abs(current_cost) + EPSILON
             if new.starts != old.starts and (
                 saves_enough or is_too_late or new.is_overcommitted < old.is_overcommitted
@@ -280,16 +231,18 @@
         work_by_last_slot: Counter[int] = Counter()
         for plan in self.plans.values():
             demand = plan.demand
-            work_by_last_slot[self._last_slot(demand)] += demand.runtime * demand.cpus * demand.task_count  # type: ignore[assignment]
+            work_by_last_slot[self.horizon.last_slot(demand)] += demand.runtime * demand.cpus * demand.task_count  # type: ignore[assignment]
         planned_work = sum(work_by_last_slot.values())
-        half, until = planned_work / 2, self._first_slot
+        half, until = planned_work / 2, self.horizon.first_slot
         for last in sorted(work_by_last_slot):
             until, half = last, half - work_by_last_slot[last]
             if half <= 0:
                 break
-        self.operation_count += len(self.plans)
-        costs = sorted(self._unit_costs.get(profile, [1.0] * self.slots)[: max(until - self._first_slot + 1, 1)])
-        slot_capacity = self.capacity * self.step
+        self.horizon.operation_count += len(self.plans)
+        slot_count = max(until - self.horizon.first_slot + 1, 1)
+        unit_costs = self.horizon.unit_costs(profile) or [1.0] * self.horizon.slots
+        costs = sorted(unit_costs[:slot_count])
+        slot_capacity = self.horizon.capacity * self.step
         thresholds = [
             costs[min(int((planned_work + expected * factor) / slot_capacity), len(costs) - 1)]
             for factor in DEMAND_FACTORS
@@ -303,33 +256,33 @@
         start in the expensive slots after them. Jobs with the earliest latest start go first. Returns the jobs whose
         plan changed.
         """
-        costs = self._unit_costs.get(profile)
+        costs = self.horizon.unit_costs(profile)
         if costs is None or not self.plans or costs[0] > self.price_threshold(profile, expected) + EPSILON:
             return []
         changed = []
         for job_id in heapq.nsmallest(
             MAX_EARLY_STARTS, self.plans, key=lambda job_id: (self.plans[job_id].demand.latest_start, job_id)
         ):
-            if self._free_capacity[0] < EPSILON:
+            if self.horizon.free_capacity[0] < EPSILON:
                 break
             plan = self.plans[job_id]
             demand = plan.demand
-            later_count = sum(count for slot, count in plan.starts.items() if slot > self._first_slot)
+            later_count = sum(count for slot, count in plan.starts.items() if slot > self.horizon.first_slot)
             if demand.profile != profile or not later_count:
                 continue
-            self.operation_count += 1
+            self.horizon.operation_count += 1
             self._detach(plan)
-            count = min(later_count, self._startable_tasks(demand, self._first_slot))
+            count = min(later_count, self.horizon.startable_tasks(demand, self.horizon.first_slot))
             if count > 0:
                 remaining = count
                 for slot in sorted(plan.starts, reverse=True):
-                    if slot > self._first_slot and remaining:
+                    if slot > self.horizon.first_slot and remaining:
                         part = min(remaining, plan.starts[slot])
                         plan.starts[slot] -= part
                         remaining -= part
-                plan.starts[self._first_slot] = plan.starts.get(self._first_slot, 0) + count
+                plan.starts[self.horizon.first_slot] = plan.starts.get(self.horizon.first_slot, 0) + count
                 plan.starts = {slot: n for slot, n in plan.starts.items() if n}
-                plan.cost = sum(n * self._task_cost(demand, slot) for slot, n in plan.starts.items())
+                plan.cost = sum(n * self.horizon.task_cost(demand, slot) for slot, n in plan.starts.items())
                 plan.reason = "hours as cheap as this one will all be needed"
                 changed.append(job_id)
             self._insert(plan)
@@ -348,122 +301,13 @@
         """Returns the number of dirty jobs, which `replan_dirty` has yet to replan."""
         return len(self._dirty)
 
-    # --- planning --------------------------------------------------------------------------------
-
-    def _last_slot(self, demand: JobDemand) -> int:
-        """Returns the last slot of the horizon that ends by the latest start: a start anywhere in it is safe."""
-        return min(demand.latest_start // self.step - 1, self._first_slot + self.slots - 1)
-
-    def _task_cost(self, demand: JobDemand, slot: int) -> float:
-        """Returns the cost of one task that starts in a slot; slots outside the horizon have the ordinary cost, 1."""
-        costs = self._unit_costs.get(demand.profile)
-        remaining, index, cost = demand.runtime, slot - self._first_slot, 0.0
-        while remaining > 0:
-            part = min(remaining, self.step)
-            cost += part * (costs[index] if costs is not None and 0 <= index < self.slots else 1.0)
-            remaining -= part
-            index += 1
-        wait = max(slot * self.step - self.now, 0) / max(demand.latest_start - self.now, self.step)
-        return demand.cpus * (cost + demand.delay_penalty * min(wait, 1.0) * demand.runtime)
-
-    def _cheapest_slots(self, demand: JobDemand) -> list[int]:
-        """Returns the slots of the horizon in the order of the cost of a task that starts in them."""
-        slots_taken = max(1, -(-demand.runtime // self.step))
-        key = (demand.profile, slots_taken)
-        slots_by_cost = self._slots_by_cost.get(key)
-        if slots_by_cost is None:
-            # Tasks that take the same number of slots share one order: fractions of a slot make little difference.
-            sample = JobDemand("", 1.0, 1, slots_taken * self.step, 1 << 62, demand.profile)
-            horizon = range(self._first_slot, self._first_slot + self.slots)
-            costs = {slot: round(self._task_cost(sample, slot), 3) for slot in horizon}
-            slots_by_cost = self._slots_by_cost[key] = sorted(horizon, key=lambda slot: (costs[slot], slot))
-            self.operation_count += self.slots
-        if demand.delay_penalty <= 0:
-            return slots_by_cost
-        return sorted(slots_by_cost, key=lambda slot: (self._task_cost(demand, slot), slot))
-
-    def _make_plan(self, demand: JobDemand) -> Plan:
-        """Returns a plan that uses the cheapest free slots in time, or an immediate start if they save too little."""
-        plan = Plan(demand, immediate_cost=demand.task_count * self._task_cost(demand, self._first_slot))
-        last, remaining = self._last_slot(demand), demand.task_count
-        if last < self._first_slot:
-            plan.starts, plan.cost, plan.reason = (
-                {self._first_slot: remaining},
-                plan.immediate_cost,
-                "the latest safe start is now",
-            )
-            return plan
-        remaining = self._fill(plan, remaining, self._first_slot, last)
-        if remaining > 0:
-            plan.starts[self._first_slot] = plan.starts.get(self._first_slot, 0) + remaining
-            plan.cost += remaining * self._task_cost(demand, self._first_slot)
-            plan.is_overcommitted = True
-        saves_little = plan.immediate_cost - plan.cost <= MIN_SAVING * abs(plan.immediate_cost) + EPSILON
-        if saves_little and not plan.is_overcommitted and self._fits_now(plan):
-            plan.starts, plan.cost, plan.reason = (
-                {self._first_slot: demand.task_count},
-                plan.immediate_cost,
-                "no hour to come is cheaper",
-            )
-        elif plan.cost > plan.immediate_cost + EPSILON:
-            plan.starts, plan.cost, plan.reason = (
-                {self._first_slot: demand.task_count},
-                plan.immediate_cost,
-                "nothing cheaper has room",
-            )
-        else:
-            plan.reason = "some of it has no room in time" if plan.is_overcommitted else "cheaper hours"
-        return plan
-
-    def _fill(self, plan: Plan, remaining: int, first: int, last: int) -> int:
-        """Assigns tasks to the cheapest slots of a range with free capacity; returns how many found none."""
-        demand = plan.demand
-        for slot in self._cheapest_slots(demand):
-            if remaining <= 0:
-                break
-            self.operation_count += 1
-            if not first <= slot <= last:
-                continue
-            count = min(remaining, self._startable_tasks(demand, slot))
-            if count > 0:
-                plan.starts[slot] = count
-                plan.cost += count * self._task_cost(demand, slot)
-                remaining -= count
-        return remaining
-
-    def _fits_now(self, plan: Plan) -> bool:
-        """Returns whether all tasks fit into the current slot; only if not is a negligible saving worth a deferral."""
-        return self._startable_tasks(plan.demand, self._first_slot) >= plan.demand.task_count
-
-    def _slot_usage(self, demand: JobDemand, slot: int) -> Iterable[tuple[int, float]]:
-        """Yields the horizon index of each slot that a task started in `slot` uses, and the CPU-us used in it."""
-        remaining, index = demand.runtime, slot - self._first_slot
-        while remaining > 0 and index < self.slots:
-            if index >= 0:
-                yield index, min(remaining, self.step) * demand.cpus
-            remaining -= self.step
-            index += 1
-
-    def _startable_tasks(self, demand: JobDemand, slot: int) -> int:
-        """Returns how many tasks of a job fit into the free capacity if they start in a slot."""
-        count = demand.task_count
-        for index, usage in self._slot_usage(demand, slot):
-            self.operation_count += 1
-            count = min(count, int((self._free_capacity[index] + EPSILON) // usage))
-            if count <= 0:
-                return 0
-        return count
-
-    def _release_capacity(self, demand: JobDemand, slot: int, count: int) -> None:
-        """Releases the capacity of `count` tasks that start in a slot; a negative `count` reserves capacity."""
-        for index, usage in self._slot_usage(demand, slot):
-            self._free_capacity[index] += count * usage
+    # --- capacity --------------------------------------------------------------------------------
 
     def _insert(self, plan: Plan) -> None:
         """Stores a plan and reserves its capacity."""
         self.plans[plan.demand.job_id] = plan
         for slot, count in plan.starts.items():
-            self._release_capacity(plan.demand, slot, -count)
+            self.horizon.release_capacity(plan.demand, slot, -count)
             self._tasks_by_slot.setdefault(slot, {})[plan.demand.job_id] = count
         heapq.heappush(self._latest_starts, (plan.demand.latest_start, plan.demand.job_id))
         if len(self._latest_starts) > 4 * len(self.plans) + 1000:  # most entries belong to replaced plans
@@ -473,7 +317,7 @@
     def _detach(self, plan: Plan) -> None:
         """Releases a plan's capacity, so that the plan can be changed; `plans` still holds it."""
         for slot, count in plan.starts.items():
-            self._release_capacity(plan.demand, slot, count)
+            self.horizon.release_capacity(plan.demand, slot, count)
             jobs_in_slot = self._tasks_by_slot.get(slot)
             if jobs_in_slot is not None:
                 jobs_in_slot.pop(plan.demand.job_id, None)
@@ -482,20 +326,20 @@
 
     def _displace_jobs(self, demand: JobDemand) -> bool:
         """Moves jobs that can start later out of the slots that this job can use; returns whether any moved."""
-        last, moved = self._last_slot(demand), False
+        last, moved = self.horizon.last_slot(demand), False
         candidates: dict[str, int] = {}
-        for slot in range(self._first_slot, last + 1):
+        for slot in range(self.horizon.first_slot, last + 1):
             for job_id in self._tasks_by_slot.get(slot, ()):
                 latest_start = self.plans[job_id].demand.latest_start
-                if self._last_slot(self.plans[job_id].demand) > last:
+                if self.horizon.last_slot(self.plans[job_id].demand) > last:
                     candidates[job_id] = latest_start
-            self.operation_count += 1
+            self.horizon.operation_count += 1
             if len(candidates) >= 4 * MAX_DISPLACEMENT_CANDIDATES:
                 break
         for job_id in heapq.nlargest(MAX_DISPLACEMENT_CANDIDATES, candidates, key=lambda c: (candidates[c], c)):
             old = self.plans[job_id]
             self._detach(old)
-            new = self._plan_after(old, last)
+            new = self._search.plan_after(old, last)
             self._insert(new or old)
             moved = moved or new is not None
             if moved and self._has_capacity(demand):
@@ -505,24 +349,8 @@
     def _has_capacity(self, demand: JobDemand) -> bool:
         """Returns whether the slots up to the latest start, each taken on its own, have capacity for all tasks."""
         remaining = demand.task_count
-        for slot in range(self._first_slot, self._last_slot(demand) + 1):
-            remaining -= min(remaining, self._startable_tasks(demand, slot))
+        for slot in range(self.horizon.first_slot, self.horizon.last_slot(demand) + 1):
+            remaining -= min(remaining, self.horizon.startable_tasks(demand, slot))
             if remaining <= 0:
                 return True
         return False
-
-    def _plan_after(self, old: Plan, after: int) -> Plan | None:
-        """Returns a plan that starts only after a slot; None if later slots are full or cost more than a start now."""
-        demand = old.demand
-        plan = Plan(
-            demand,
-            immediate_cost=old.immediate_cost,
-            reason="made room for a job with an earlier deadline",
-            move_count=old.move_count + 1,
-        )
-        if (
-            self._fill(plan, demand.task_count, after + 1, self._last_slot(demand))
-            or plan.cost > plan.immediate_cost + EPSILON
-        ):
-            return None
-        return plan
--- a/tests/test_window_planner.py
+++ b/tests/test_window_planner.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from oatport.times import SECOND
-from oatport.windows.planner import JobDemand, Planner
+from oatport.windows.plan import JobDemand
+from oatport.windows.planner import Planner
 
 STEP = 300 * SECOND
 NOW = 1_000_000 * STEP
@@ -65,8 +66,8 @@
     while planner.dirty_count:
         planner.replan_dirty(5)
     for plan in planner.plans.values():  # at the new prices; a job is not moved for a saving below 1 %
-        immediate_cost = plan.demand.task_count * planner._task_cost(plan.demand, planner._first_slot)
-        cost = sum(count * planner._task_cost(plan.demand, slot) for slot, count in plan.starts.items())
+        immediate_cost = plan.demand.task_count * planner.horizon.task_cost(plan.demand, planner.horizon.first_slot)
+        cost = sum(count * planner.horizon.task_cost(plan.demand, slot) for slot, count in plan.starts.items())
         assert cost <= immediate_cost + 0.011 * abs(cost) + 1e-6
 
 
@@ -92,7 +93,7 @@
     planner.replan_dirty(100)
     for job_id in list(planner.plans):
         planner.remove(job_id)
-    assert all(abs(free - capacity * STEP) < 1 for free in planner._free_capacity)
+    assert all(abs(free - capacity * STEP) < 1 for free in planner.horizon.free_capacity)
     assert not planner._tasks_by_slot
 
 
@@ -150,14 +151,14 @@
     planner.set_prices("", costs)
     for number in range(10_000):
         planner.add(JobDemand(f"j-{number}", 1.0, 20, 600 * SECOND, NOW + (50 + number % 300) * STEP))
-    count_before = planner.operation_count
+    count_before = planner.horizon.operation_count
     planner.add(JobDemand("j-new", 1.0, 20, 600 * SECOND, NOW + 300 * STEP))
-    assert planner.operation_count - count_before < 2_000
+    assert planner.horizon.operation_count - count_before < 2_000
     changed = list(costs)
     deferred_in_slot = len(planner._tasks_by_slot.get(NOW // STEP + 24, ()))
     changed[24] = 9.0
     planner.set_prices("", changed)
     assert planner.dirty_count == deferred_in_slot
-    count_before = planner.operation_count
+    count_before = planner.horizon.operation_count
     planner.replan_dirty(50)
-    assert planner.operation_count - count_before < 50 * 1_000
+    assert planner.horizon.operation_count - count_before < 50 * 1_000
