Placement: a job with a vanishing demand stops no other one

Cause: how many tasks fit was computed as a quotient, which is infinite for a very small demand. The code stood twice.

Change: fitting_count compares the product with what is available first, and serves machines and teams.

Measured: the new test fails before (OverflowError: cannot convert float infinity to integer) and passes now.

--- a/oatport/control/state/capacity.py
+++ b/oatport/control/state/capacity.py
@@ -7,15 +7,25 @@
 
 from oatport import wire
 
+CAPACITY_TOLERANCE = 1e-9
+
+
+def fitting_count(available: float, demand: float, limit: int) -> int:
+    """Returns how many tasks that take `demand` of a resource fit into what is available, at most `limit`.
+
+    The product is compared first, since the quotient of a very small demand is no number.
+    """
+    if demand <= 0 or demand * limit <= available + CAPACITY_TOLERANCE:
+        return limit
+    return max(int((available + CAPACITY_TOLERANCE) // demand), 0)
+
 
 def task_slots(spec: wire.Submission, cpus: float, gpus: float, memory_gb: float, attempts: int) -> int:
     """Returns how many tasks of a job fit into the given free capacity."""
-    count = min(int((cpus + 1e-9) // spec.cpus), attempts)
-    if spec.gpus > 0:
-        count = min(count, int((gpus + 1e-9) // spec.gpus))
-    if spec.memory_gb > 0:
-        count = min(count, int((memory_gb + 1e-9) // spec.memory_gb))
-    return max(count, 0)
+    count = max(attempts, 0)
+    count = fitting_count(cpus, spec.cpus, count)
+    count = fitting_count(gpus, spec.gpus, count)
+    return fitting_count(memory_gb, spec.memory_gb, count)
 
 
 def task_slots_when_empty(machine_type: wire.MachineType, spec: wire.Submission) -> int:
--- a/oatport/control/state/quota.py
+++ b/oatport/control/state/quota.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from oatport import wire
+from oatport.control.state.capacity import fitting_count
 from oatport.control.state.job import PRIORITIES
 from oatport.settings import Team
 
@@ -33,10 +34,10 @@
         """Returns how many more tasks of a job the team's limit allows."""
         count = spec.task_count
         if self.limits.cpus_max > 0:
-            count = min(count, int((self.limits.cpus_max - self.cpus + 1e-9) // spec.cpus))
+            count = fitting_count(self.limits.cpus_max - self.cpus, spec.cpus, count)
         if self.limits.gpus_max > 0 and spec.gpus > 0:
-            count = min(count, int((self.limits.gpus_max - self.gpus + 1e-9) // spec.gpus))
-        return max(count, 0)
+            count = fitting_count(self.limits.gpus_max - self.gpus, spec.gpus, count)
+        return count
 
     def exceeds_guarantee(self) -> bool:
         """Returns whether the team uses more than its guarantee."""
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -723,3 +723,19 @@
     harness.fail_over()
     harness.settle(2)
     assert harness.cluster.job_statistics.teams["other"].started == 1
+
+
+def test_a_job_with_a_vanishing_demand_stops_no_other_job() -> None:
+    """Guards against an accepted job for which each planning pass raised OverflowError, so that no job was placed."""
+    harness = ClusterHarness([Team("crew", cpus_max=350.0, gpus_max=8.0)])
+    for number in (1, 2):
+        harness.machine(number)
+    harness.settle(2)
+    for smallest in (1e-306, 5e-324):
+        harness.submit(legs=100, cores=smallest, accelerators=0.0, memoryGb=smallest)
+    other = harness.submit(legs=1)
+    harness.settle(3)
+    assert harness.task_locations(other)
+    spec = harness.cluster.jobs[other].spec
+    harness.cluster.quotas["crew"].cpus = 400.0  # more than the limit
+    assert harness.cluster.quotas.remaining_tasks(spec) == 0
