Bodies with semantic tags of CBOR are refused

Cause: the decoder handles all semantic tags, and the protocol has none ("maps with text keys, lists, text, numbers, booleans and null").

--- a/tests/test_client_consistency.py
+++ b/tests/test_client_consistency.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
+import cbor2
 import pytest
 
 from oatport import wire
@@ -321,3 +323,14 @@
         await status_of("POST", "/submissions", {**body_of(), "cores": -1.0})
     assert await status_of("POST", "/submissions", body_of()) == 503
     assert await status_of("GET", "/submissions/j-000001") == 503
+
+
+@pytest.mark.parametrize("tag", [2, 28, 35, 55799, 123_456])
+def test_bodies_with_semantic_tags_are_refused_unread(tag: int) -> None:
+    """Guards against a text that is compiled as a regular expression, for more than a minute on the event loop."""
+    costly = "(?i)" + "[\u0000-\U0010ffff]" * 6_000
+    body = cbor2.dumps({"ref": cbor2.CBORTag(tag, costly)})
+    begin = time.process_time()
+    with pytest.raises(wire.InvalidMessageError):
+        wire.decode(body)
+    assert time.process_time() - begin < 1.0
