--- a/oatport/control/storage/batch_builder.py
+++ b/oatport/control/storage/batch_builder.py
@@ -54,7 +54,7 @@
         self._add_orphaned_keys()
         return self.batch
 
-    def _has_room(self, operations: int, max_bytes: int) -> bool:
+    def _is_within_limits(self, operations: int, max_bytes: int) -> bool:
         """Returns whether the limits of the state service and of this batch allow so many more operations and bytes."""
         return (
             self.batch.operation_count + operations <= self._max_operations
@@ -71,7 +71,7 @@
         suspects = self.writes.refused.suspect_keys
         if suspects and not (suspects.isdisjoint(keys) and suspects.isdisjoint(self.batch.sets)):
             return False
-        return self._has_room(operations, max_bytes)
+        return self._is_within_limits(operations, max_bytes)
 
     # --- finished jobs ------------------------------------------------------------------------
 
@@ -128,8 +128,9 @@
 
     def _add_orphaned_keys(self) -> None:
         orphaned_keys = self.writes.orphaned_keys
-        while orphaned_keys and self._fits(1, _deletes_bytes(orphaned_keys[-1:]), ()):
-            if self._max_operations <= 0:
+        while orphaned_keys:
+            max_bytes = _deletes_bytes(orphaned_keys[-1:])
+            if not (self._is_within_limits(1, max_bytes) and self._fits(1, max_bytes, ())):
                 return
             self._add_deletes([orphaned_keys.pop()])
 
@@ -143,7 +144,7 @@
         """Adds the deletion of keys, as many as there is room for; the others become orphaned keys."""
         for key in keys:
             max_bytes = _deletes_bytes([key])
-            if self._has_room(1, max_bytes):
+            if self._is_within_limits(1, max_bytes):
                 self.batch.conditions[key] = self.writes.versions.get(key, 0)
                 self.batch.deletes.append(key)
                 self.batch.max_bytes += max_bytes
@@ -186,7 +187,7 @@
         # Too much for one transaction: the prerequisites are written first.
         is_split = len(keys) > self._max_operations or sum(sizes.values()) > wire.MAX_TRANSACTION_BYTES - ENVELOPE_BYTES
         for number, k in enumerate(prerequisites if is_split else keys):
-            if number and is_split and not self._has_room(1, sizes[k]):
+            if number and is_split and not self._is_within_limits(1, sizes[k]):
                 break
             self.writes.urgent_keys.pop(k, None)
             self.writes.dirty_keys.pop(k, None)
--- a/oatport/control/storage/write_batch.py
+++ b/oatport/control/storage/write_batch.py
@@ -1,4 +1,4 @@
-"""One transaction of the leader: what it writes, and an upper bound on its size."""
+"""The write batch: one transaction of the leader with an upper bound on its size."""
 
 from __future__ import annotations
 
--- a/oatport/windows/plan.py
+++ b/oatport/windows/plan.py
@@ -1,4 +1,4 @@
-"""What the planner plans: the unstarted work of a job, and the times at which its tasks start."""
+"""Demands and plans: the unstarted work of a job, and the times at which its tasks start."""
 
 from __future__ import annotations
 
