Refused records: a job cancelled while its completion is withheld does not come back

Cause: a withheld completion was returned to the pending writes although its user had cancelled the job meanwhile; its condition then failed in each transaction that it was part of. Found by reading the change again, not seen in a run.

Change: such jobs are left out when a withheld batch is tried again.

--- a/oatport/control/storage/write_buffer.py
+++ b/oatport/control/storage/write_buffer.py
@@ -219,8 +219,8 @@
         `budget`: number of operations that may be sent now. Non-urgent writes are added only within the budget;
         otherwise bindings would wait for writes of completions, and a lost replica for those of a whole zone.
         """
-        for refused in self.refused.take_due(self.cluster.now):
-            self.restore_batch(refused)
+        for withheld in self.refused.take_due(self.cluster.now):
+            self._restore_withheld(withheld)
         batch = BatchBuilder(self, max_operations).build(budget, batching_window)
         self.in_flight_keys = {*batch.sets, *batch.deletes}
         return batch
@@ -310,6 +310,15 @@
         self.refused.withhold(batch, retry_at)
         return True
 
+    def _restore_withheld(self, batch: WriteBatch) -> None:
+        """Returns a withheld batch to the pending writes, without the jobs that were cancelled meanwhile."""
+        batch.completed_jobs = [
+            job
+            for job in batch.completed_jobs
+            if self.cluster.jobs.get(job.job_id) is job and (job.failure_reason or not job.cancelled)
+        ]
+        self.restore_batch(batch)
+
     def _withdraw_bindings(self, batch: WriteBatch, retry_at: int) -> None:
         for task, attempt, machine in batch.bindings:
             task.job.retry_at = max(task.job.retry_at, retry_at)
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -204,6 +204,37 @@
     end_refusal()
 
 
+async def test_a_job_that_is_cancelled_while_its_completion_is_withheld_stops_no_other_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a completion whose condition failed again and again, and with it each transaction it was in."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    harness.machine(1)
+    harness.settle(2)
+    monkeypatch.setattr("oatport.service.group_commit.steady", lambda: harness.now)
+    ref = harness.submit(legs=1, voyageS=5.0)
+    harness.settle(2)
+    end_refusal = refuse_key(harness.state, job_key(ref))
+    lead, step_down_reasons = lead_cluster(harness)
+    harness.now += 6 * SECOND
+    for worker in harness.workers.values():
+        harness.report(worker)
+    await commit_all(lead, harness)
+    end_refusal()
+    harness.cancel(ref)
+    harness.settle(3)
+    assert ref not in harness.cluster.jobs
+    harness.now += 2 * REFUSED_RETRY_INTERVAL
+    harness.settle(2)
+    other = harness.submit(legs=1, voyageS=5.0)
+    harness.plan()
+    harness.commit()  # fails if a transaction does
+    assert (harness.record(ref), step_down_reasons) == (wire.JobStatus.CANCELLED, [])
+    assert harness.cluster.jobs[other].placed_task_count == 1
+
+
 async def test_a_submission_that_the_state_service_refuses_stops_no_other_one() -> None:
     """Guards against a batch of submissions that is refused for one of them, as often as they are retried."""
 
