--- a/oatport/simulation/fault_plan.py
+++ b/oatport/simulation/fault_plan.py
@@ -37,6 +37,7 @@
     "cancel_at_end": ("amount",),
     "cancel_needed": ("count",),  # count: jobs that others depend on and that their users cancel
     "upgrade": ("count", "amount"),  # count: nodes that are upgraded at a time; amount: interval in seconds
+    "records_refused": ("count",),  # count: unfinished jobs whose records the state service refuses as malformed
     "state_limits": (),  # the state service's next limits take effect
     # Heartbeats of the machines arrive, but responses and commands don't reach them. Machines are selected by number
     # (count), by share (amount) or by zone.
--- a/oatport/simulation/faults/services.py
+++ b/oatport/simulation/faults/services.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from oatport.control.storage.keys import BLOCKED_PREFIX, LIVE_PREFIX
 from oatport.simulation.fault_plan import Fault
 from oatport.simulation.faults import EndFault, Handlers
 from oatport.simulation.simulated_deployment import SimulatedDeployment
+from oatport.simulation.transaction_validation import job_id_in
 
 
 class ServiceFaults:
@@ -15,12 +17,14 @@
 
     def __init__(self, deployed: SimulatedDeployment) -> None:
         self._state, self._cloud, self._limits = deployed.state, deployed.cloud, deployed.settings.state
+        self._rng = deployed.rng
         self.handlers: Handlers = {
             "state_down": self.stop_state_service,
             "state_slow": self.slow_state_service,
             "late_writes": self.delay_commits,
             "lost_answers": self.lose_commit_responses,
             "state_limits": self.lower_state_limits,
+            "records_refused": self.refuse_records,
             "cloud_down": self.stop_cloud,
             "no_capacity": self.exhaust_cloud_capacity,
         }
@@ -62,6 +66,18 @@
         limits = self._limits
         self._state.set_limits(limits.min_value_bytes, limits.min_txn_ops, limits.min_write_rps)
 
+    def refuse_records(self, fault: Fault) -> EndFault:
+        """Makes the state service refuse each transaction that sets a record of one of `count` unfinished jobs."""
+        store = self._state.store
+        unfinished = sorted({job_id_in(key) for key in store.items if key.startswith((LIVE_PREFIX, BLOCKED_PREFIX))})
+        refused = set(self._rng.sample(unfinished, min(fault.count, len(unfinished))))
+        store.refused_jobs |= refused
+
+        def end() -> None:
+            store.refused_jobs -= refused
+
+        return end
+
     def stop_cloud(self, fault: Fault) -> EndFault:
         """Makes the cloud's API respond with 503."""
         self._cloud.down = True
--- a/oatport/simulation/size_limit_scenario.py
+++ b/oatport/simulation/size_limit_scenario.py
@@ -1,4 +1,7 @@
-"""Fault plans and jobs that reach the size limits of PROTOCOL: large transactions, long heartbeats and commands."""
+"""Fault plans and jobs that reach the size limits of PROTOCOL: large transactions, long heartbeats and commands.
+
+For a while the records of some jobs are refused, however small they are.
+"""
 
 from __future__ import annotations
 
@@ -19,7 +22,7 @@
 def size_limit_plan(
     seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 100.0
 ) -> Plan:
-    """Returns a plan with jobs of long descriptions that are released or cancelled together, and with small tasks."""
+    """Returns a plan with long descriptions that are used together, small tasks, and records that are refused."""
     builder = PlanBuilder(seed, nodes, max(8, machines // MACHINES_DIVISOR), zones, for_s)
     rng = builder.rng
     builder.add("long_lists", rng.uniform(8, 12), count=rng.randint(12, 20), amount=float(rng.randint(56, 64)))
@@ -28,6 +31,7 @@
         "long_lists", cancelled_at_s, rng.uniform(6, 9), count=rng.randint(12, 20), amount=float(rng.randint(64, 72))
     )
     builder.add("small_tasks", rng.uniform(10, 40), count=rng.randint(1_600, 2_400))
+    builder.add("records_refused", rng.uniform(13, 40), rng.uniform(5, 35), count=rng.randint(1, 4))
     if rng.random() < 0.5:
         builder.crash_leader(rng.uniform(12, 60))
     if rng.random() < 0.3:
--- a/oatport/simulation/state_service.py
+++ b/oatport/simulation/state_service.py
@@ -16,6 +16,7 @@
     MAX_LISTED_ENTRIES,
     WATCH_WAIT_MS,
     entries_of_page,
+    job_id_in,
     transaction_error,
 )
 from oatport.simulation.virtual_time import Host
@@ -43,6 +44,7 @@
         self.changed = asyncio.Event()
         self.commit_count = 0
         self.down = False  # no lease expires during an outage
+        self.refused_jobs: set[str] = set()  # their records are refused as malformed
         self.over_limit_count = 0  # transactions refused for their number of operations, their size or a key
 
     def expire(self) -> None:
@@ -121,6 +123,8 @@
         if error:
             self.over_limit_count += 1
             return error
+        if any("set" in op and job_id_in(op["set"]) in self.refused_jobs for op in ops):
+            return "refused"
         has_lease = all(op.get("permit") is None or op["permit"] in self.leases for op in ops)
         return "" if has_lease else "no such lease"
 
--- a/oatport/simulation/transaction_validation.py
+++ b/oatport/simulation/transaction_validation.py
@@ -31,6 +31,12 @@
     return "transaction too large" if json_size(body) > wire.MAX_TRANSACTION_BYTES else ""
 
 
+def job_id_in(key: str) -> str:
+    """Returns the job id in the key of a job's record; an empty string for other keys."""
+    _, _, rest = key.partition("/")
+    return rest.partition("/")[0]
+
+
 def entries_of_page(rows: list[dict[str, Any]], page: int) -> list[dict[str, Any]]:
     """Returns the first rows, as many as one response may hold, and at least one if there is any."""
     size, fitting = 0, rows[: min(page, MAX_LISTED_ENTRIES)]
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -24,6 +24,7 @@
 from oatport.service.leader import Leader
 from oatport.service.node import MAX_PEER_BODY_BYTES
 from oatport.settings import StateLimits, Team
+from oatport.simulation.plan_builder import LEASE_S
 from oatport.simulation.runner import RunRequest, run_scenario
 from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_service import KeyStore
@@ -376,3 +377,5 @@
     result = run_scenario(RunRequest(plan=size_limit_plan(seed)), seed)
     assert not result.violations
     assert not result.errors
+    assert result.counts["lease_kills"] == 0
+    assert result.leaderless_s_max < LEASE_S
