Test of a large job's deletion: its 2,500 tasks run on seven machines

One machine had all of them, a state that PROTOCOL does not allow (its report would exceed 64 KiB) and that is not brought about any more. The assertions are the same: 2,500 tasks start, the job is deleted in several transactions, and it does not reappear.

--- a/tests/test_safety_invariants.py
+++ b/tests/test_safety_invariants.py
@@ -492,11 +492,12 @@
     """The head of the job's record is deleted first; remaining chunks are deleted later, also by the next leader."""
     harness = ClusterHarness([Team("crew")])
     ref = harness.submit(legs=2500, cores=0.001, voyageS=8.0, memoryGb=0.0)
-    worker = harness.machine(1)
+    workers = [harness.machine(number) for number in range(1, 8)]  # each lists a few hundred tasks
     harness.settle(3)
-    assert len(worker.started_attempts) == 2500
+    assert sum(len(worker.started_attempts) for worker in workers) == 2500
     harness.now += 9 * SECOND
-    harness.report(worker)
+    for worker in workers:
+        harness.report(worker)
     for _ in range(20):
         batch = harness.cluster.writes.take_batch(12)
         status, value = harness.state.commit(harness.transaction(batch))
