Commits: one that was applied before its repetition is refused leaves the leader deciding

Cause: where a commit got no answer, was applied and its repetition was refused as malformed, it still counted as unanswered, so that the leader paused its decisions until its next commit, which might never come. Found by reading the change again, not seen in a run.

Change: the commit counts as answered. Which statuses mean a malformed or throttled request stands once, in RequestRefusedError.

Measured: the new test fails before and passes now.

--- a/oatport/api/submission_batcher.py
+++ b/oatport/api/submission_batcher.py
@@ -21,7 +21,6 @@
 BEST_EFFORT_SHARE = 0.6
 MAX_CONCURRENT_COMMITS = 4
 MAX_SEND_DELAY = 150 * MS
-TOO_MANY_REQUESTS = 429
 
 
 class SubmitOutcome(Enum):
@@ -175,9 +174,9 @@
                 except NoResponseError:
                     break
                 except RequestRefusedError as error:
-                    if error.status == TOO_MANY_REQUESTS:
+                    if error.is_throttled:
                         self._limiter.on_throttled(steady())
-                    elif error.status < TOO_MANY_REQUESTS:
+                    elif error.is_malformed:
                         return results | await self._commit_one_by_one(remaining)
                     return results
                 if isinstance(result, Applied):
--- a/oatport/clients/http.py
+++ b/oatport/clients/http.py
@@ -18,6 +18,7 @@
 MIN_CONNECTIONS = 16  # of a session, even if the socket limit is lower
 MAX_CONNECTIONS_PER_HOST = 12
 IDLE_TIMEOUT = 30 * SECOND
+TOO_MANY_REQUESTS = 429
 
 
 class NoResponseError(OatportError):
@@ -29,13 +30,23 @@
 
 
 class RequestRefusedError(OatportError):
-    """The response says that the request was not executed (429, 503). `value` is the response's decoded body."""
+    """The response says that the request was not executed (400, 429, 503). `value` is the response's decoded body."""
 
     def __init__(self, status: int, value: Any = None) -> None:
         super().__init__(f"status {status}")
         self.status = status
         self.value = value
 
+    @property
+    def is_throttled(self) -> bool:
+        """Returns whether the request exceeded a rate limit, so that it may be sent again later."""
+        return self.status == TOO_MANY_REQUESTS
+
+    @property
+    def is_malformed(self) -> bool:
+        """Returns whether the request itself is at fault, so that a repetition would be refused as well."""
+        return self.status < TOO_MANY_REQUESTS
+
 
 def jitter(base_us: int) -> float:
     """Returns a random pause in seconds, between 0.5 and 1.5 times `base_us`."""
--- a/oatport/queues/store.py
+++ b/oatport/queues/store.py
@@ -20,7 +20,6 @@
 BATCHING_WINDOW_S = 0.004  # changes are collected into a batch for this long
 MAX_PENDING_CHANGES = 5_000
 MAX_COMMIT_TRIES = 6
-TOO_MANY_REQUESTS = 429
 
 
 class StoreUnavailableError(OatportError):
@@ -139,7 +138,7 @@
                 # The same transaction is repeated. If an earlier attempt of unknown outcome was applied, its own
                 # conditions fail now, and the caller reads the current row.
                 failures += 1
-                if isinstance(error, RequestRefusedError) and error.status < TOO_MANY_REQUESTS:
+                if isinstance(error, RequestRefusedError) and error.is_malformed:
                     await self._commit_one_by_one(batch)
                     return
                 if failures >= MAX_COMMIT_TRIES:
--- a/oatport/service/group_commit.py
+++ b/oatport/service/group_commit.py
@@ -25,7 +25,6 @@
 STUCK_AFTER = SECOND
 RETRY_DELAY_STEP, MAX_RETRY_DELAY = 60 * MS, 400 * MS
 READ_RETRY_INTERVAL = 200 * MS
-TOO_MANY_REQUESTS = 429
 REFUSED_RETRY_INTERVAL = 30 * SECOND  # until a record that was refused alone is written again
 MAX_KEYS_LOGGED = 10
 
@@ -105,8 +104,9 @@
             except NoResponseError as error:
                 log.info('commit got no response fencing_token=%d error="%s"', self._leader.token, error)
             except RequestRefusedError as error:
-                if error.status < TOO_MANY_REQUESTS:
+                if error.is_malformed:
                     log.info('commit was refused fencing_token=%d error="%s"', self._leader.token, error)
+                    self._commit_started_at = 0
                     if not (failed_attempts and await self._was_applied(batch)):
                         self._on_malformed(batch)
                     return
@@ -122,7 +122,7 @@
             await asyncio.sleep(jitter(min(RETRY_DELAY_STEP * failed_attempts, MAX_RETRY_DELAY)))
 
     def _on_refused(self, error: RequestRefusedError) -> None:
-        if error.status == TOO_MANY_REQUESTS:
+        if error.is_throttled:
             # The first sign that the limits were lowered; until then their full rate is used.
             self._budget.rate_per_s = min(self._budget.rate_per_s, self._reduced_rate)
         else:
@@ -134,7 +134,6 @@
         The leader goes on with all other records, since a successor would have to write the same.
         """
         writes = self.cluster.writes
-        self._commit_started_at = 0
         keys = ",".join(list(batch.sets)[:MAX_KEYS_LOGGED])
         if not (writes.layout.should_split_records or writes.is_value_limit_lowered):
             # The limits were lowered while a node was unreachable, so it is not known whether that node can read record
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -18,6 +18,7 @@
 from oatport.control.state.task import TaskPhase
 from oatport.control.storage.keys import SCHEMA_VERSION_KEY, blocked_key, job_key, live_key
 from oatport.control.storage.schema_version import SCHEMA_VERSION
+from oatport.control.storage.write_batch import WriteBatch
 from oatport.peer_messages import JobProgressUpdate
 from oatport.service.group_commit import REFUSED_RETRY_INTERVAL
 from oatport.service.job_progress_publisher import split_update
@@ -29,7 +30,7 @@
 from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_service import KeyStore
 from oatport.sizes import json_size
-from oatport.times import SECOND
+from oatport.times import SECOND, steady
 from tests.cluster_fixture import TYPES, ClusterHarness
 from tests.test_client_consistency import job as submission
 from tests.test_client_consistency import make_api
@@ -181,6 +182,29 @@
     assert not step_down_reasons
 
 
+async def test_a_commit_that_was_applied_before_its_repetition_is_refused_leaves_the_leader_deciding() -> None:
+    """Guards against a leader that takes its last commit for unanswered, and so places nothing any more."""
+    state = KeyStore(lambda: 0)
+    lead, client, leading_node = leader(state)
+    lead.cluster.writes.layout.should_split_records = True
+    key = live_key("j-000001")
+    batch = WriteBatch(conditions={key: 0}, sets={key: {"t": [[1]]}})
+    client.faults = ["lose"]  # applied, but without an answer
+    applied_commit = client.commit
+
+    async def commit_and_then_refuse(*arguments: Any) -> Any:
+        try:
+            return await applied_commit(*arguments)
+        finally:
+            refuse_key(state, key)
+
+    client.commit = commit_and_then_refuse  # type: ignore[method-assign]
+    await lead.commits.commit(batch)
+    assert lead.cluster.writes.versions[key] == state.revision
+    assert not lead.commits.is_stuck(steady() + 60 * SECOND)
+    assert leading_node.step_down_reasons == []
+
+
 async def test_a_refused_completion_keeps_its_task_on_record_until_it_is_written() -> None:
     """Guards against a completion that is neither recorded nor pending, whose task would run again."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
