Batch builder: a record that no transaction can hold is sent and withheld, not waited for

Cause: such a record was taken for one whose prerequisites go first, but it has none, so that each batch stayed empty and all other records waited for it. Found by reading the change again; max_record_bytes keeps it from coming about.

Change: only a record with prerequisites is split. Measured: the new test fails before and passes now.

--- a/oatport/control/storage/batch_builder.py
+++ b/oatport/control/storage/batch_builder.py
@@ -184,8 +184,10 @@
         has_blocked_record = any(self._replaces_blocked_record(k) for k in keys)
         if not self._fits(len(keys) + has_blocked_record, sum(sizes.values()), keys):
             return False
-        # Too much for one transaction: the prerequisites are written first.
-        is_split = len(keys) > self._max_operations or sum(sizes.values()) > wire.MAX_TRANSACTION_BYTES - ENVELOPE_BYTES
+        # Too much for one transaction: the prerequisites are written first. A record without any is always written.
+        available_bytes = wire.MAX_TRANSACTION_BYTES - ENVELOPE_BYTES
+        is_too_much = len(keys) > self._max_operations or sum(sizes.values()) > available_bytes
+        is_split = bool(prerequisites) and is_too_much
         for number, k in enumerate(prerequisites if is_split else keys):
             if number and is_split and not self._is_within_limits(1, sizes[k]):
                 break
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -159,6 +159,25 @@
         end_refusal()
 
 
+async def test_a_record_that_no_transaction_can_hold_stops_no_other_record() -> None:
+    """Guards against a record that is never refused, as it is never sent, and that all others wait for."""
+    harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
+    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+    harness.fail_over()
+    harness.machine(1)
+    harness.settle(2)
+    lead, step_down_reasons = lead_cluster(harness)
+    harness.cluster.writes.singleton_records["large"] = lambda: {"text": "x" * wire.MAX_TRANSACTION_BYTES}
+    harness.cluster.writes.urgent_keys["large"] = 0
+    ref = harness.submit(legs=2)
+    harness.plan()
+    await commit_all(lead, harness)
+    assert "large" not in harness.state.items
+    assert "t" in harness.state.items[live_key(ref)][0]
+    assert not harness.cluster.writes.has_urgent_writes()
+    assert step_down_reasons == []
+
+
 async def test_a_withheld_record_is_written_once_the_state_service_takes_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an accepted job that never runs because its record was refused for a while."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
