--- a/tests/cluster_fixture.py
+++ b/tests/cluster_fixture.py
@@ -143,6 +143,7 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.unreachable_machines: set[str] = set()  # machines that send and receive nothing
         self.one_way_partitioned: set[str] = set()  # machines whose heartbeats arrive but which receive nothing
+        self.direct_commands: dict[str, list[dict[str, Any]]] = {}  # machine -> bodies of the executed requests
         self.retry_policies: RetryPolicies = {}
         self.fail_over()
 
@@ -204,6 +205,7 @@
             if machine.name in self.unreachable_machines | self.one_way_partitioned or machine.name not in self.workers:
                 continue
             body = wire.command_request(self.cluster.fencing_token, machine.worker_epoch, due_commands)
+            self.direct_commands.setdefault(machine.name, []).append(body)
             _, report = self.workers[machine.name].commands(body)
             self.cluster.commands.on_start_response(machine, [(t.name, t.attempt) for t in starts])
             self.cluster.heartbeats.receive(wire.decode_heartbeat(report), self.now, self.now)
