Forget commands: sent under a higher token than every start of the machine, so that late copies start nothing

A start was executed and answered, the attempt failed and was forgotten, the task was bound elsewhere, and a copy of the answered start request arrived 4.6 s after the first one and started the attempt again.

Cause: a check in one path and not in another. A start without an answer kept its attempt from being forgotten; an answered one counted as unable to arrive later. PROTOCOL executes a direct command whenever token and session still match, and a start after a forget starts again, so the right to execute the copy had to be taken away before the worker's memory of the attempt was.

Why it works: each commit of a leader is conditional on its leader key, so every revision at which one was applied is lower than all tokens of later leaders. The leader raises the token of a single machine by one, up to that revision, in the heartbeat response that carries the forgets. The worker then refuses every start sent before. Checks for an equal token now check for the range of the term; lease proxies get its upper end with the watermark.

--- /dev/null
+++ b/oatport/control/leadership/fencing_tokens.py
@@ -0,0 +1,37 @@
+"""The fencing tokens that a leader may use: that of its term, and higher ones for single machines.
+
+A worker executes direct commands as long as their token and worker epoch still match (PROTOCOL, "Delayed messages"), so
+a copy of a start command that was answered may be executed again once the worker has forgotten the attempt. A higher
+token makes the worker refuse all copies of earlier commands.
+
+The token of a term is the revision of the leader key. A commit of the leader is conditional on that revision, so each
+revision at which such a commit was applied is lower than the token of every later leader. A leader may therefore use
+all tokens from that of its term up to the revision of its newest commit.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class FencingTokens:
+    """Holds the range of tokens of one leader's term."""
+
+    term: int  # revision of the leader key
+    highest: int = 0  # newest revision at which the leader key is known to have been this leader's
+
+    def __post_init__(self) -> None:
+        self.highest = max(self.highest, self.term)
+
+    def on_committed(self, revision: int) -> None:
+        """Records the revision of an applied commit that was conditional on the leader key."""
+        self.highest = max(self.highest, revision)
+
+    def includes(self, token: int) -> bool:
+        """Returns whether a token is of this term: no earlier or later leader has it."""
+        return self.term <= token <= self.highest
+
+    def is_superseded_by(self, token: int) -> bool:
+        """Returns whether a token is of a later leader."""
+        return token > self.highest
--- a/oatport/control/leadership/lease_proxy.py
+++ b/oatport/control/leadership/lease_proxy.py
@@ -33,6 +33,7 @@
     fencing_token: int
     watermark_age_us: int  # age of the cancellation watermark
     contact_age_us: int  # time since the leader was asked for the watermark
+    highest_token: int = 0  # highest token of the leader's term that is known here
 
 
 @dataclass(slots=True)
@@ -45,6 +46,7 @@
     renewal_limit: LeaseRenewalLimit
     fencing_token: int = 0  # of the leader that answered last; 0: none answered
     leader_contact_at: int = 0  # when that leader was asked
+    highest_token: int = 0  # highest token of that leader's term: it raises the tokens of single machines
 
     @classmethod
     def create(cls, settings: ClusterSettings) -> LeaseProxy:
@@ -52,17 +54,25 @@
         return cls(LeaseRenewalLimit(settings, 0))
 
     def on_watermark(
-        self, fencing_token: int, requested_at: int, watermark_age_us: int, contact_age_us: int = 0
+        self,
+        fencing_token: int,
+        requested_at: int,
+        watermark_age_us: int,
+        contact_age_us: int = 0,
+        highest_token: int = 0,
     ) -> None:
         """Records a watermark: all cancellations confirmed more than `watermark_age_us` ago were carried out.
 
         `contact_age_us`: if another node shares the watermark, the time since that node asked the leader. The answer is
         no older than the request, so both ages count from the request. Each receiving node subtracts clock drift, so a
-        watermark that nodes share in a circle only becomes earlier.
+        watermark that nodes share in a circle only becomes earlier. `highest_token` is that of the leader's term, or 0
+        from a node of an earlier version.
         """
         if fencing_token < self.fencing_token or min(watermark_age_us, contact_age_us) < 0:
             return
+        known_highest = self.highest_token if fencing_token == self.fencing_token else fencing_token
         self.fencing_token = fencing_token
+        self.highest_token = max(known_highest, highest_token)
         self.leader_contact_at = max(self.leader_contact_at, requested_at - contact_age_us)
         self.renewal_limit.on_cancellations_read(
             requested_at - watermark_age_us - watermark_age_us // CLOCK_DRIFT_DIVISOR
@@ -73,7 +83,10 @@
         if not self.fencing_token:
             return None
         return SharedWatermark(
-            self.fencing_token, now - self.renewal_limit.cancellations_read_at, now - self.leader_contact_at
+            self.fencing_token,
+            now - self.renewal_limit.cancellations_read_at,
+            now - self.leader_contact_at,
+            self.highest_token,
         )
 
     def valid_until(self) -> int:
@@ -84,11 +97,12 @@
         """Returns whether this node may answer a heartbeat of a worker that has seen the token `seen_token`.
 
         The node may not answer while the leader or the state service answers it: then other nodes have newer
-        information. It may not answer a worker that has seen another token. A higher token belongs to a leader whose
-        cancellations are unknown here, so this node has no valid answer under that token. A lower token means that the
-        leader never reached that worker, so no cancellation was carried out there.
+        information. It may not answer a worker that has seen a token of another term. A higher token may belong to a
+        leader whose cancellations are unknown here, so this node has no valid answer under that token. A lower token
+        means that the leader never reached that worker, so no cancellation was carried out there.
         """
-        if not self.fencing_token or seen_token != self.fencing_token or now >= self.valid_until():
+        is_of_term = self.fencing_token <= seen_token <= self.highest_token
+        if not self.fencing_token or not is_of_term or now >= self.valid_until():
             return False
         return self.is_isolated(now, state_ok_at, state_failed_at)
 
--- a/oatport/control/state/cluster_state.py
+++ b/oatport/control/state/cluster_state.py
@@ -11,6 +11,7 @@
 import logging
 
 from oatport import wire
+from oatport.control.leadership.fencing_tokens import FencingTokens
 from oatport.control.placement.retry_policy import RetryPolicies
 from oatport.control.queueing.dependency_tracker import DependencyTracker
 from oatport.control.queueing.pending_queue import PendingQueue
@@ -57,7 +58,7 @@
         types: dict[str, wire.MachineType],
         predictor: RuntimePredictor,
     ) -> None:
-        self.fencing_token = token
+        self.tokens = FencingTokens(token)
         self.settings = settings
         self.tuning = tuning
         self.predictor = predictor
@@ -99,6 +100,11 @@
         self.heartbeats = HeartbeatReceiver(self)
         self.commands = MachineCommands(self)
 
+    @property
+    def fencing_token(self) -> int:
+        """Returns the token of the leader's term, the revision of the leader key."""
+        return self.tokens.term
+
     def _make_router(self) -> TierRouter:
         router = TierRouter(
             self.predictor,
--- a/oatport/control/state/heartbeats.py
+++ b/oatport/control/state/heartbeats.py
@@ -52,7 +52,7 @@
             cluster.zones.on_recovered(machine.zone, now)
         if not machine.ready_at:
             self._on_ready(machine, now)
-        if machine.fencing_token != report.fencing_token or is_new_epoch:
+        if is_new_epoch or machine.fencing_token < cluster.fencing_token <= report.fencing_token:
             cluster.planning_needed = True
         if is_new_epoch:
             self._on_new_epoch(machine, now)
@@ -209,7 +209,7 @@
 
     def _on_unlisted_task(self, task: Task, machine: Machine, report: wire.Heartbeat, now: int) -> None:
         """Requeues a bound task that the newest heartbeat does not list, unless a start command may still create it."""
-        if report.fencing_token != self.cluster.fencing_token:
+        if not self.cluster.tokens.includes(report.fencing_token):
             return  # a start of an earlier leader may still arrive
         if task.binding_at and not task.start_epoch:
             self.cluster.machines_to_command.add(machine)  # bound by this leader, and its first start is due now
--- a/oatport/control/state/machine.py
+++ b/oatport/control/state/machine.py
@@ -47,6 +47,8 @@
     # Starts in the response to the newest heartbeat, and that heartbeat's epoch and sequence number.
     starts_in_response: set[tuple[str, int]] = field(default_factory=set)
     answered_heartbeat: tuple[int, int] = (0, 0)
+    command_token: int = 0  # token of the newest message to the worker, if higher than that of the leader's term
+    newest_start_token: int = 0  # highest token under which this leader sent a start
     images: dict[str, int] = field(default_factory=dict)  # image -> time of the first binding that needs it; 1: present
     free_cpus: float = 0.0
     free_gpus: float = 0.0
@@ -134,7 +136,7 @@
         if self.releasing or self.draining:
             return False
         if self.ready_at:
-            return self.fencing_token != token and not self.tasks  # ready, and about to receive this leader's token
+            return self.fencing_token < token and not self.tasks  # ready, and about to receive this leader's token
         return not self.was_ready and now - self.rented_at < 2 * micros(self.type.boot_time_s) + 5 * SECOND
 
     def on_process_pause(self, pause_us: int, now: int) -> None:
@@ -151,14 +153,17 @@
         self.free_memory_gb -= memory
 
     def has_reported_under(self, token: int) -> bool:
-        """Returns whether the newest heartbeat is under this token; attempts that it does not list are not there."""
-        return self.ready_at > 0 and self.fencing_token == token
+        """Returns whether the newest heartbeat is under the term with this token.
+
+        Attempts that it does not list are not there.
+        """
+        return self.ready_at > 0 and self.fencing_token >= token
 
     def is_usable(self, token: int, now: int, max_age_us: int) -> bool:
         """Returns whether tasks may be placed here. `max_age_us`: maximum age of the newest heartbeat."""
         return (
             self.persisted
-            and self.fencing_token == token
+            and self.fencing_token >= token
             and self.ready_at > 0
             and not self.draining
             and not self.releasing
--- a/oatport/control/state/machine_commands.py
+++ b/oatport/control/state/machine_commands.py
@@ -29,7 +29,7 @@
         """
         commands: list[wire.Command] = []
         starts: list[Task] = []
-        confirmed = machine.fencing_token == self.cluster.fencing_token
+        confirmed = self.cluster.tokens.includes(machine.fencing_token)
         for task in machine.tasks:
             if task.phase is not TaskPhase.BOUND:
                 continue
@@ -42,7 +42,7 @@
             if task.stop_grace_s is not None:
                 commands.append(wire.StopCommand(task.name, task.attempt, task.stop_grace_s))
         commands += [wire.StopCommand(name, attempt, 0.0) for name, attempt in machine.orphaned_attempts]
-        if confirmed:
+        if confirmed and self._is_fenced(machine):
             commands += [
                 wire.ForgetCommand(name, attempt)
                 for name, attempt in machine.terminated_attempts
@@ -88,11 +88,36 @@
             for task in machine.tasks
         )
 
+    def token_for(self, machine: Machine) -> int:
+        """Returns the fencing token for messages to a machine; the worker drops any with a lower one."""
+        return max(self.cluster.fencing_token, machine.command_token)
+
+    def raise_token_for_forgets(self, machine: Machine) -> None:
+        """Raises a machine's token so that its terminated attempts can be forgotten, if an own commit allows it.
+
+        For heartbeat responses only, and while no direct request is in flight: the worker refuses requests and drops
+        responses that were sent under the lower token.
+        """
+        if self._is_fenced(machine) or not self.cluster.tokens.includes(machine.fencing_token):
+            return
+        raised_token = self.token_for(machine) + 1
+        if not self.cluster.tokens.includes(raised_token):
+            return
+        if any(self._may_forget(machine, name, attempt) for name, attempt in machine.terminated_attempts):
+            machine.command_token = raised_token
+
+    def _is_fenced(self, machine: Machine) -> bool:
+        """Returns whether messages to a machine now carry a higher token than every start that was sent to it.
+
+        The worker's memory of an attempt is what makes copies of its start harmless; a `forget` may remove it only
+        once the worker refuses those copies by their token.
+        """
+        return self.token_for(machine) > machine.newest_start_token
+
     def _may_forget(self, machine: Machine, name: str, attempt: int) -> bool:
-        """Returns whether a worker may forget an attempt.
+        """Returns whether a worker may forget an attempt in a message whose token fences all its starts.
 
-        It may not while a start may still arrive, which would start the attempt again, nor before the attempt's
-        completion is committed.
+        It may not while a start is unacknowledged, nor before the attempt's completion is committed.
         """
         if machine.unacknowledged_starts.get((name, attempt)) or (name, attempt) in machine.starts_in_response:
             return False
@@ -121,8 +146,9 @@
             machine.starts_in_response.clear()
 
     def on_sent(self, machine: Machine, starts: Iterable[Task], now: int, *, direct: bool) -> None:
-        """Records starts that are about to be sent under the machine's present epoch."""
+        """Records starts that are about to be sent under the machine's present epoch and token."""
         for task in starts:
+            machine.newest_start_token = self.token_for(machine)
             task.start_epoch = machine.worker_epoch
             self.cluster.unacknowledged_tasks.add(task)
             if direct:
@@ -141,7 +167,11 @@
             self.cluster.planning_needed = True
 
     def on_start_response(self, machine: Machine, starts: Iterable[tuple[str, int]]) -> None:
-        """Clears the starts of a direct command that was answered, executed or refused: they can't arrive later."""
+        """Clears the starts of a direct command that was answered: executed, refused or never sent.
+
+        A copy of the command has no effect: while the worker lists an attempt, its start is ignored, and a `forget`
+        carries a token under which the worker refuses the copy.
+        """
         for key in starts:
             count = machine.unacknowledged_starts.get(key, 0) - 1
             if count > 0:
--- a/oatport/lab/__init__.py
+++ b/oatport/lab/__init__.py
@@ -14,6 +14,7 @@
     "fencing",
     "write-ahead",
     "start-in-flight",
+    "forget-fence",
     "failure-confirmation",
     "process-identity",
     "dependency-release",
--- a/oatport/peer_messages.py
+++ b/oatport/peer_messages.py
@@ -252,6 +252,12 @@
 # --- leases and cancellations ----------------------------------------------------------------
 
 
+def _optional_token(message: PeerArray, position: int) -> int:
+    """Returns the token at a position, or 0 if a node of an earlier version did not send it."""
+    token = message[position] if len(message) > position else 0
+    return token if type(token) is int else 0
+
+
 class CancellationWatermarkRequest(PeerMessage, frozen=True, tag="carried out"):
     """Asks for the cancellation watermark, the time up to which confirmed cancellations are carried out.
 
@@ -260,15 +266,19 @@
 
 
 class CancellationWatermark(PeerMessage, frozen=True, tag="carried out"):
-    """Holds the leader's fencing token and the age of the cancellation watermark; -1: there is no watermark."""
+    """Holds the leader's fencing token and the age of the cancellation watermark; -1: there is no watermark.
+
+    `highest_token`: the highest token of the leader's term; 0 from an earlier version, whose leader uses one token.
+    """
 
     fencing_token: int
     age_us: int
+    highest_token: int = 0
 
     @classmethod
     def decode(cls, message: PeerArray) -> CancellationWatermark:
-        """Parses ["carried out", token, age]; further elements are ignored."""
-        return cls(int(message[1]), int(message[2]))
+        """Parses ["carried out", token, age, highest token]; further elements are ignored."""
+        return cls(int(message[1]), int(message[2]), _optional_token(message, 3))
 
 
 class LeaseProxyStateRequest(PeerMessage, frozen=True, tag="kept"):
@@ -279,19 +289,22 @@
     """Holds the state on which a lease proxy bases its decisions.
 
     `watermark_age_us`: the age of the cancellation watermark; `contact_age_us`: the time since the leader was asked for
-    the watermark; `answering`: whether the node answers workers on behalf of the leader.
+    the watermark; `answering`: whether the node answers workers on behalf of the leader; `highest_token`: as in
+    `CancellationWatermark`.
     """
 
     fencing_token: int
     watermark_age_us: int
     contact_age_us: int
     answering: bool
+    highest_token: int = 0
 
     @classmethod
     def decode(cls, message: PeerArray) -> LeaseProxyState:
-        """Parses ["kept", token, watermark age, contact age, answering]; further elements are ignored."""
+        """Parses ["kept", token, watermark age, contact age, answering, highest token], ignoring further elements."""
         _, token, watermark_age_us, contact_age_us, answering = message[:5]
-        return cls(int(token), int(watermark_age_us), int(contact_age_us), answering is True)
+        highest_token = _optional_token(message, 5)
+        return cls(int(token), int(watermark_age_us), int(contact_age_us), answering is True, highest_token)
 
 
 class ConfirmedCancellationsRequest(PeerMessage, frozen=True, tag="told"):
--- a/oatport/service/command_sender.py
+++ b/oatport/service/command_sender.py
@@ -79,10 +79,11 @@
             return
         cluster.commands.on_sent(machine, starts, now, direct=True)
         sent_starts = [(task.name, task.attempt) for task in starts]
+        token = cluster.commands.token_for(machine)
         self._requests += 1
         try:
             client = WorkerClient(self._net, machine.address)
-            heartbeat = await client.send_commands(leader.token, machine.worker_epoch, commands)
+            heartbeat = await client.send_commands(token, machine.worker_epoch, commands)
         except RequestNotSentError:
             # No connection was made, so the commands can't arrive later.
             cluster.commands.on_start_response(machine, sent_starts)
@@ -90,7 +91,7 @@
         except NoResponseError as error:
             log.debug('commands got no response machine=%s error="%s"', machine.name, error)
             return
-        if heartbeat.fencing_token > leader.token:
+        if cluster.tokens.is_superseded_by(heartbeat.fencing_token):
             leader.step_down(f"a worker has seen token {heartbeat.fencing_token}")
             return
         cluster.commands.on_start_response(machine, sent_starts)
--- a/oatport/service/failover.py
+++ b/oatport/service/failover.py
@@ -93,6 +93,8 @@
             leader.cluster.commands.on_contact(machine)
             leader.receive_heartbeat(heartbeat, steady())
             if heartbeat.fencing_token < leader.token:
-                leader.receive_heartbeat(await client.send_commands(leader.token, heartbeat.worker_epoch, []), steady())
+                token = leader.cluster.commands.token_for(machine)
+                reply = await client.send_commands(token, heartbeat.worker_epoch, [])
+                leader.receive_heartbeat(reply, steady())
         except NoResponseError:
             await asyncio.sleep(jitter(ANNOUNCE_RETRY_INTERVAL))
--- a/oatport/service/group_commit.py
+++ b/oatport/service/group_commit.py
@@ -114,6 +114,7 @@
             else:
                 self._commit_started_at = 0
                 if isinstance(result, Applied):
+                    self.cluster.tokens.on_committed(result.revision)
                     self.cluster.writes.committed(batch, result.revision, steady())
                 else:
                     await self._on_conflict(batch, result.failed_keys, failed_attempts)
--- a/oatport/service/heartbeat_controller.py
+++ b/oatport/service/heartbeat_controller.py
@@ -42,7 +42,7 @@
         if not self.may_answer():
             return None
         leader, cluster = self._leader, self._leader.cluster
-        if heartbeat.fencing_token > leader.token:
+        if cluster.tokens.is_superseded_by(heartbeat.fencing_token):
             leader.step_down(f"a worker has seen token {heartbeat.fencing_token}")
             return None
         now = leader.now()
@@ -57,6 +57,8 @@
             # A start command of a cancelled job may still be in flight to this machine.
             log.warning("lease is left to expire machine=%s", machine.name)
             return None
+        if not is_outdated and not self._command_sender.is_sending(machine):
+            cluster.commands.raise_token_for_forgets(machine)
         commands, starts = cluster.commands.for_machine(machine, now, direct=False)
         # An outdated heartbeat is a late copy, or was overtaken by the response to a command. Its sender may not
         # receive this response, so no start command in the response may count as sent.
@@ -69,7 +71,7 @@
         cluster.commands.on_sent(machine, starts, now, direct=False)
         if not self._command_sender.is_sending(machine):
             cluster.machines_to_command.discard(machine)
-        return wire.heartbeat_response(leader.token, commands)
+        return wire.heartbeat_response(cluster.commands.token_for(machine), commands)
 
     def _is_outdated(self, heartbeat: wire.Heartbeat) -> bool:
         """Returns whether this heartbeat or a later one of the same machine was received before."""
--- a/oatport/service/lease_proxy_service.py
+++ b/oatport/service/lease_proxy_service.py
@@ -74,7 +74,7 @@
         leader = self._node.leader
         if leader is None:
             return No()
-        return CancellationWatermark(leader.token, leader.cancellation_watermark_age())
+        return CancellationWatermark(leader.token, leader.cancellation_watermark_age(), leader.cluster.tokens.highest)
 
     async def on_proxy_state_request(self, request: LeaseProxyStateRequest) -> LeaseProxyState | No:
         """Returns this node's lease proxy state to a restarted node, or `No` if this node leads or has none."""
@@ -83,14 +83,18 @@
         if self._node.leader is not None or shared is None:
             return No()
         answering = self._is_isolated(now) and now < self.proxy.valid_until()
-        return LeaseProxyState(shared.fencing_token, shared.watermark_age_us, shared.contact_age_us, answering)
+        return LeaseProxyState(
+            shared.fencing_token, shared.watermark_age_us, shared.contact_age_us, answering, shared.highest_token
+        )
 
     async def refresh_from_leader(self, peer: PeerClient) -> None:
         """Updates the proxy state from the leader. Raises NoResponseError or MalformedReplyError."""
         requested_at = steady()
         watermark = await peer.ask(CancellationWatermarkRequest(), CancellationWatermark.decode_if_known)
         if watermark is not None:
-            self.proxy.on_watermark(watermark.fencing_token, requested_at, watermark.age_us)
+            self.proxy.on_watermark(
+                watermark.fencing_token, requested_at, watermark.age_us, highest_token=watermark.highest_token
+            )
 
     async def refresh_from_proxy(self, peer: PeerClient) -> None:
         """Updates the proxy state from another node while the state service is unreachable; ignores request errors."""
@@ -103,6 +107,12 @@
             return
         if state is None:
             return
-        self.proxy.on_watermark(state.fencing_token, requested_at, state.watermark_age_us, state.contact_age_us)
+        self.proxy.on_watermark(
+            state.fencing_token,
+            requested_at,
+            state.watermark_age_us,
+            state.contact_age_us,
+            state.highest_token,
+        )
         if state.answering:
             self._other_proxies[peer.name] = requested_at
--- a/oatport/simulation/mutations.py
+++ b/oatport/simulation/mutations.py
@@ -87,9 +87,17 @@
     return [patch.object(TaskLifecycle, "begin_binding", bind_and_send)]
 
 
+def _forget_fence() -> list[Any]:
+    """Sends forget commands under the token of the forgotten attempts' starts."""
+    return [patch.object(MachineCommands, "_is_fenced", lambda self, machine: True)]
+
+
 def _start_in_flight() -> list[Any]:
     """Sends the forget command of a terminated attempt while a start command for it may be in flight."""
-    return [patch.object(MachineCommands, "_may_forget", lambda self, machine, name, attempt: True)]
+    return [
+        patch.object(MachineCommands, "_may_forget", lambda self, machine, name, attempt: True),
+        *_forget_fence(),
+    ]
 
 
 def _failure_confirmation() -> list[Any]:
@@ -292,6 +300,7 @@
     "fencing": _fencing,
     "write-ahead": _write_ahead,
     "start-in-flight": _start_in_flight,
+    "forget-fence": _forget_fence,
     "failure-confirmation": _failure_confirmation,
     "process-identity": _process_identity,
     "dependency-release": _dependency_release,
--- a/tests/cluster_fixture.py
+++ b/tests/cluster_fixture.py
@@ -186,6 +186,7 @@
                 continue
             status, value = self.state.commit(self.transaction(batch))
             assert status == 200, value
+            self.cluster.tokens.on_committed(value["ledgerRev"])
             self.cluster.writes.committed(batch, value["ledgerRev"], self.now)
         raise AssertionError("still writes pending after 500 batches")
 
@@ -204,7 +205,8 @@
             self.cluster.commands.on_sent(machine, starts, self.now, direct=True)
             if machine.name in self.unreachable_machines | self.one_way_partitioned or machine.name not in self.workers:
                 continue
-            body = wire.command_request(self.cluster.fencing_token, machine.worker_epoch, due_commands)
+            token = self.cluster.commands.token_for(machine)
+            body = wire.command_request(token, machine.worker_epoch, due_commands)
             self.direct_commands.setdefault(machine.name, []).append(body)
             _, report = self.workers[machine.name].commands(body)
             self.cluster.commands.on_start_response(machine, [(t.name, t.attempt) for t in starts])
@@ -216,16 +218,17 @@
         report = wire.decode_heartbeat(worker.report())
         machine = self.cluster.heartbeats.receive(report, self.now, self.now)
         due_commands: list[wire.Command] = []
+        token = self.cluster.fencing_token
         if machine is not None and worker.name not in self.one_way_partitioned:
             self.cluster.commands.on_contact(machine)  # replaces the probe of a machine with `command_unreachable`
         if machine is not None and not machine.releasing:
             self.cluster.commands.on_heartbeat_delivered(machine, report)
+            self.cluster.commands.raise_token_for_forgets(machine)
             due_commands, starts = self.cluster.commands.for_machine(machine, self.now, direct=False)
             self.cluster.commands.on_sent(machine, starts, self.now, direct=False)
+            token = self.cluster.commands.token_for(machine)
         if worker.name not in self.one_way_partitioned:
-            worker.on_heartbeat_response(
-                sent, session, wire.heartbeat_response(self.cluster.fencing_token, due_commands)
-            )
+            worker.on_heartbeat_response(sent, session, wire.heartbeat_response(token, due_commands))
 
     def step(self, seconds: float = 0.0) -> None:
         """Advances the clock, delivers all heartbeats, then lets the leader commit, plan and send commands."""
--- a/tests/test_limits_properties.py
+++ b/tests/test_limits_properties.py
@@ -158,6 +158,7 @@
             return
         self.unconfirmed_batch = None
         if status == 200:
+            cluster.tokens.on_committed(value["ledgerRev"])
             cluster.writes.committed(batch, value["ledgerRev"], self.harness.now)
         elif self._was_applied(batch):
             cluster.writes.committed(batch, self.harness.state.revision, self.harness.now)
@@ -191,7 +192,8 @@
             if not due_commands or not machine.worker_epoch:
                 continue
             cluster.commands.on_sent(machine, starts, self.harness.now, direct=True)
-            body = wire.command_request(cluster.fencing_token, machine.worker_epoch, due_commands)
+            token = cluster.commands.token_for(machine)
+            body = wire.command_request(token, machine.worker_epoch, due_commands)
             if delivered and machine.name in self.harness.workers:
                 _, report = self.harness.workers[machine.name].commands(body)
                 cluster.commands.on_start_response(machine, [(t.name, t.attempt) for t in starts])
@@ -263,12 +265,14 @@
         cluster = self.harness.cluster
         machine = cluster.heartbeats.receive(report, self.harness.now, self.harness.now)
         self._record_completions()
-        if machine is None or report.fencing_token > cluster.fencing_token:
+        if machine is None or cluster.tokens.is_superseded_by(report.fencing_token):
             return
         cluster.commands.on_heartbeat_delivered(machine, report)
+        cluster.commands.raise_token_for_forgets(machine)
         due_commands, starts = cluster.commands.for_machine(machine, self.harness.now, direct=False)
         cluster.commands.on_sent(machine, starts, self.harness.now, direct=False)
-        worker.on_heartbeat_response(sent, session, wire.heartbeat_response(cluster.fencing_token, due_commands))
+        token = cluster.commands.token_for(machine)
+        worker.on_heartbeat_response(sent, session, wire.heartbeat_response(token, due_commands))
 
     def _reports(self) -> None:
         """Delivers one heartbeat of each machine without writing anything."""
@@ -289,7 +293,7 @@
     def duplicate_report_arrives(self, pick: int) -> None:
         """Delivers a copy of an old heartbeat to the current leader."""
         report = self.reports[-1 - pick % len(self.reports)]
-        if report.fencing_token <= self.harness.cluster.fencing_token:
+        if not self.harness.cluster.tokens.is_superseded_by(report.fencing_token):
             self.harness.cluster.heartbeats.receive(report, self.harness.now, self.harness.now)
 
     @rule(number=MACHINE_NUMBERS)
--- a/tests/test_schema_versions.py
+++ b/tests/test_schema_versions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from oatport import wire
+from oatport.control.leadership.fencing_tokens import FencingTokens
 from oatport.control.queueing.runtime_predictor import RuntimePredictor
 from oatport.control.state.job import Job
 from oatport.control.state.task import TaskPhase
@@ -322,7 +323,7 @@
     lower_limits(harness)
     lead, _, leading_node = leader(harness.state)
     lead.cluster = lead.commits.cluster = harness.cluster
-    harness.cluster.fencing_token = lead.token
+    harness.cluster.tokens = FencingTokens(lead.token)
     refused = harness.cluster.writes.take_batch(4)
     assert max(json_size(value) for value in refused.sets.values()) > 2048
     harness.state.commit = _fail_on_repeated_refusal(harness.state.commit)  # type: ignore[method-assign]
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -12,6 +12,7 @@
 from oatport.api.submission_batcher import SubmissionBatcher, SubmitOutcome
 from oatport.clients.http import RequestRefusedError
 from oatport.clients.state import Applied
+from oatport.control.leadership.fencing_tokens import FencingTokens
 from oatport.control.limits.rate_limiter import AdaptiveRateLimiter
 from oatport.control.scaling.capacity_slot import CapacitySlot
 from oatport.control.state.capacity import task_slots_when_empty
@@ -118,7 +119,7 @@
     """Returns a leader that writes for the harness's cluster state, and the reasons for which it steps down."""
     lead, _, leading_node = leader(harness.state)
     lead.cluster = lead.commits.cluster = harness.cluster
-    harness.cluster.fencing_token = lead.token
+    harness.cluster.tokens = FencingTokens(lead.token)
     for _ in range(2):  # the workers learn the new token, and then report under it
         harness.now += SECOND
         for worker in harness.workers.values():
