--- a/oatport/clients/worker.py
+++ b/oatport/clients/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from oatport import wire
 from oatport.clients.http import ConnectionReuse, Connector, NoResponseError
@@ -25,6 +26,14 @@
     return sum(await asyncio.gather(*(is_reachable(address) for address in addresses)))
 
 
+@dataclass(frozen=True, slots=True)
+class CommandReply:
+    """Holds a worker's reply to commands: its heartbeat, and whether it executed the commands or refused them (409)."""
+
+    heartbeat: wire.Heartbeat
+    executed: bool
+
+
 class WorkerClient:
     """Calls one worker. Every call raises NoResponseError if it fails, or if the response is not a heartbeat."""
 
@@ -33,13 +42,11 @@
     ) -> None:
         self._http = connector.client(address, reuse)
 
-    async def send_commands(
-        self, fencing_token: int, worker_epoch: int, commands: list[wire.Command]
-    ) -> wire.Heartbeat:
-        """Sends commands and returns the worker's heartbeat, also if the worker refused the commands (409)."""
+    async def send_commands(self, fencing_token: int, worker_epoch: int, commands: list[wire.Command]) -> CommandReply:
+        """Sends commands and returns the worker's reply, also if the worker refused the commands."""
         body = wire.command_request(fencing_token, worker_epoch, commands)
         status, value = await self._http.request("POST", wire.COMMANDS_PATH, body, timeout_us=COMMANDS_TIMEOUT)
-        return self._decode_response(status, value)
+        return CommandReply(self._decode_response(status, value), executed=status == 200)
 
     async def fetch_status(self) -> wire.Heartbeat:
         """Returns the worker's current heartbeat."""
--- a/oatport/control/state/cluster_state.py
+++ b/oatport/control/state/cluster_state.py
@@ -17,6 +17,7 @@
 from oatport.control.queueing.pending_queue import PendingQueue
 from oatport.control.queueing.runtime_predictor import RuntimePredictor
 from oatport.control.queueing.tier_router import SPOT, TierRouter
+from oatport.control.state.command_audit import CommandAudit
 from oatport.control.state.heartbeats import HeartbeatReceiver
 from oatport.control.state.job import Job, JobKind
 from oatport.control.state.job_lifecycle import JobLifecycle
@@ -99,6 +100,7 @@
         self.writes.singleton_records[PARTITIONED_ZONES_KEY] = self.zones.record
         self.heartbeats = HeartbeatReceiver(self)
         self.commands = MachineCommands(self)
+        self.command_audit = CommandAudit()
 
     @property
     def fencing_token(self) -> int:
--- a/oatport/control/state/orphaned_attempts.py
+++ b/oatport/control/state/orphaned_attempts.py
@@ -34,6 +34,7 @@
         gone.
         """
         log.info("orphaned attempt task=%s attempt=%d machine=%s", *key, machine.name)
+        self.cluster.command_audit.on_orphaned(machine, key)
         job_id = _job_id_of(key[0])
         job = self.cluster.jobs.get(job_id)
         machine.orphaned_attempts[key] = (job, job.spec if job is not None else None)
--- a/oatport/control/state/task.py
+++ b/oatport/control/state/task.py
@@ -40,6 +40,7 @@
     start_retry_at: int = 0
     binding_epoch: int = 0  # worker epoch at the binding (recorded for classes that limit retries)
     retry_exhausted: bool = False  # it may not run again
+    bound_at_revision: int = 0  # of the commit of its binding by this leader; 0: an earlier leader bound it
 
     def __hash__(self) -> int:
         """Returns a hash that is the same in every run, so that sets of tasks are iterated in the same order."""
@@ -62,3 +63,4 @@
         self.stop_sent_at = 0
         self.start_retry_at = 0
         self.binding_epoch = 0
+        self.bound_at_revision = 0
--- a/oatport/control/storage/write_buffer.py
+++ b/oatport/control/storage/write_buffer.py
@@ -270,7 +270,7 @@
         for task, attempt, machine in batch.bindings:
             # A binding that was withdrawn and replaced meanwhile is not the one that was written.
             if task.phase is TaskPhase.BINDING and task.attempt == attempt and task.machine is machine:
-                self._on_bound(task, machine)
+                self._on_bound(task, machine, revision)
         for job in batch.finished_jobs:
             self.cluster.job_lifecycle.remove(job)
             self.terminal_revisions[job.job_id] = revision
@@ -285,8 +285,9 @@
                 machine.persisted = True
                 self.cluster.planning_needed = True
 
-    def _on_bound(self, task: Task, machine: Machine) -> None:
+    def _on_bound(self, task: Task, machine: Machine, revision: int) -> None:
         task.phase = TaskPhase.BOUND
+        task.bound_at_revision = revision
         self.cluster.unacknowledged_tasks.add(task)
         self.cluster.machines_to_command.add(machine)
         if task.job.kind is JobKind.GANG:
--- a/oatport/service/command_sender.py
+++ b/oatport/service/command_sender.py
@@ -80,20 +80,23 @@
         cluster.commands.on_sent(machine, starts, now, direct=True)
         sent_starts = [(task.name, task.attempt) for task in starts]
         token = cluster.commands.token_for(machine)
+        cluster.command_audit.on_sent(machine, token, commands, starts, direct=True)
         self._requests += 1
         try:
             client = WorkerClient(self._net, machine.address)
-            heartbeat = await client.send_commands(token, machine.worker_epoch, commands)
+            reply = await client.send_commands(token, machine.worker_epoch, commands)
         except RequestNotSentError:
             # No connection was made, so the commands can't arrive later.
             cluster.commands.on_start_response(machine, sent_starts)
             return
         except NoResponseError as error:
-            log.debug('commands got no response machine=%s error="%s"', machine.name, error)
+            log.info('commands got no response machine=%s error="%s"', machine.name, error)
             return
-        if cluster.tokens.is_superseded_by(heartbeat.fencing_token):
-            leader.step_down(f"a worker has seen token {heartbeat.fencing_token}")
+        if not reply.executed:
+            cluster.command_audit.on_refused(machine, token, reply.heartbeat, sent_starts)
+        if cluster.tokens.is_superseded_by(reply.heartbeat.fencing_token):
+            leader.step_down(f"a worker has seen token {reply.heartbeat.fencing_token}")
             return
         cluster.commands.on_start_response(machine, sent_starts)
         cluster.commands.on_contact(machine)
-        leader.receive_heartbeat(heartbeat, steady())
+        leader.receive_heartbeat(reply.heartbeat, steady())
--- a/oatport/service/election.py
+++ b/oatport/service/election.py
@@ -75,6 +75,7 @@
         """Records that a node leads or led with this token; the node with the highest token is the current leader."""
         if token <= self.leader_token:
             return
+        log.info("leader observed leader=%s fencing_token=%d", name, token)
         self.leader_name, self.leader_token = name, token
         if name not in (None, self._node.node_name):
             self.last_other_leader = str(name)
--- a/oatport/service/failover.py
+++ b/oatport/service/failover.py
@@ -95,6 +95,6 @@
             if heartbeat.fencing_token < leader.token:
                 token = leader.cluster.commands.token_for(machine)
                 reply = await client.send_commands(token, heartbeat.worker_epoch, [])
-                leader.receive_heartbeat(reply, steady())
+                leader.receive_heartbeat(reply.heartbeat, steady())
         except NoResponseError:
             await asyncio.sleep(jitter(ANNOUNCE_RETRY_INTERVAL))
--- a/oatport/service/heartbeat_controller.py
+++ b/oatport/service/heartbeat_controller.py
@@ -71,7 +71,9 @@
         cluster.commands.on_sent(machine, starts, now, direct=False)
         if not self._command_sender.is_sending(machine):
             cluster.machines_to_command.discard(machine)
-        return wire.heartbeat_response(cluster.commands.token_for(machine), commands)
+        token = cluster.commands.token_for(machine)
+        cluster.command_audit.on_sent(machine, token, commands, starts, direct=False)
+        return wire.heartbeat_response(token, commands)
 
     def _is_outdated(self, heartbeat: wire.Heartbeat) -> bool:
         """Returns whether this heartbeat or a later one of the same machine was received before."""
--- a/oatport/service/leader.py
+++ b/oatport/service/leader.py
@@ -38,7 +38,7 @@
 from oatport.service.planning_loop import PlanningLoop
 from oatport.service.schema_version_controller import SchemaVersionController
 from oatport.settings import Settings, Tuning
-from oatport.times import SECOND, seconds, steady, time_of_day
+from oatport.times import MS, SECOND, seconds, steady, time_of_day
 
 if TYPE_CHECKING:
     from oatport.service.window_controller import WindowController
@@ -142,6 +142,13 @@
             await self.window_controller.fail_over()
         self.lease_renewal_limit.on_cancellations_read(requested_at)
         self.loaded = True
+        log.info(
+            "records read fencing_token=%d revision=%d read_ms=%d completions_complete=%s",
+            self.token,
+            snapshot.revision,
+            (steady() - requested_at) // MS,
+            earlier.complete,
+        )
         self.job_watch.start_from(snapshot.revision)
 
     async def _load_machine_types(self, needed: set[str]) -> None:
--- a/oatport/service/lease_proxy_service.py
+++ b/oatport/service/lease_proxy_service.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Protocol
 
 from oatport import wire
@@ -24,7 +25,9 @@
 )
 from oatport.service.leader import Leader
 from oatport.settings import ClusterSettings
-from oatport.times import SECOND, steady
+from oatport.times import SECOND, seconds, steady
+
+log = logging.getLogger(__name__)
 
 PROXY_STATUS_VALIDITY = 2 * SECOND  # workers are redirected to a proxy whose last reply is no older
 
@@ -45,12 +48,23 @@
     def __init__(self, node: ProxyNode, settings: ClusterSettings) -> None:
         self._node = node
         self.proxy = LeaseProxy.create(settings)
+        self._logged_contact_at = 0  # the leader contact after which it was logged that this node answers workers
         self._other_proxies: dict[str, int] = {}  # node name -> when it last reported that it answers workers (steady)
 
     def may_answer(self, heartbeat: wire.Heartbeat) -> bool:
         """Returns whether this node may answer a heartbeat on behalf of the leader."""
-        state = self._node.state
-        return self.proxy.may_answer(heartbeat.fencing_token, steady(), state.last_success_at, state.last_failure_at)
+        now, state = steady(), self._node.state
+        if not self.proxy.may_answer(heartbeat.fencing_token, now, state.last_success_at, state.last_failure_at):
+            return False
+        if self._logged_contact_at != self.proxy.leader_contact_at:
+            self._logged_contact_at = self.proxy.leader_contact_at
+            log.info(
+                "lease proxy answers workers fencing_token=%d highest_token=%d for_s=%.1f",
+                self.proxy.fencing_token,
+                self.proxy.highest_token,
+                seconds(self.proxy.valid_until() - now),
+            )
+        return True
 
     def redirect_target(self, leader: str | None) -> str | None:
         """Returns the node to which workers are redirected: the leader, or if isolated from it, another lease proxy.
--- a/oatport/simulation/mutations.py
+++ b/oatport/simulation/mutations.py
@@ -15,7 +15,7 @@
 
 from oatport.api.job_status_cache import JobStatusCache
 from oatport.clients.state import StateClient
-from oatport.clients.worker import WorkerClient
+from oatport.clients.worker import CommandReply, WorkerClient
 from oatport.control.leadership.leader_lease import LeaderLease
 from oatport.control.leadership.lease_renewal import LeaseRenewalLimit
 from oatport.control.queueing.dependency_graph import DependencyGraph
@@ -51,11 +51,12 @@
         return await commit(self, conditions, sets, *args, **options)
 
     async def send_commands_unfenced(self: WorkerClient, token: int, worker_epoch: int, commands: Any) -> Any:
-        report = await send_commands(self, token, worker_epoch, commands)
+        reply = await send_commands(self, token, worker_epoch, commands)
+        report = reply.heartbeat
         if report.fencing_token > token:
-            report = await send_commands(self, report.fencing_token, report.worker_epoch, commands)
-            return replace(report, fencing_token=token)
-        return report
+            reply = await send_commands(self, report.fencing_token, report.worker_epoch, commands)
+            return CommandReply(replace(reply.heartbeat, fencing_token=token), reply.executed)
+        return reply
 
     def step_down_at_shutdown_only(self: Election, reason: str) -> None:
         if reason == "shutting down":
