Test of refused records: the leader has the clock of the harness, not the machine's

What was seen: test_a_job_whose_record_is_refused_stops_no_other_job_under_any_leader failed in the whole suite and passed alone, by appearance with load.

Cause: a clock of another origin. GroupCommit withholds a refused record until 30 s after the machine's monotonic clock, which counts from the machine's boot, and the harness compares that with its own clock, which begins at 1,000 s. On a machine that has been up for less than 16 minutes the record was due again at once.

The service itself has one clock and is not affected; no assertion changed.

--- a/tests/cluster_fixture.py
+++ b/tests/cluster_fixture.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from itertools import chain
 from typing import Any
 
@@ -326,6 +327,21 @@
         return str(self.state.items[job_key(ref)][0]["state"])
 
 
+@dataclass(frozen=True, slots=True)
+class HarnessClock:
+    """The clock of a harness, for `times.CLOCK`: the machine's own clock counts from its boot."""
+
+    harness: ClusterHarness
+
+    def steady(self) -> int:
+        """Returns the harness's time."""
+        return self.harness.now
+
+    def time_of_day(self) -> int:
+        """Returns the harness's time."""
+        return self.harness.now
+
+
 class UnreachableNetwork:
     """A network on which every request fails before it is sent."""
 
@@ -434,6 +450,7 @@
     "TYPES",
     "ClusterHarness",
     "FakeStateClient",
+    "HarnessClock",
     "UnreachableNetwork",
     "cluster_settings",
     "job",
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -31,8 +31,8 @@
 from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_service import KeyStore
 from oatport.sizes import json_size
-from oatport.times import SECOND, steady
-from tests.cluster_fixture import TYPES, ClusterHarness
+from oatport.times import CLOCK, SECOND, steady
+from tests.cluster_fixture import TYPES, ClusterHarness, HarnessClock
 from tests.test_client_consistency import job as submission
 from tests.test_client_consistency import make_api
 from tests.test_node_failures import leader
@@ -116,7 +116,11 @@
 
 
 def lead_cluster(harness: ClusterHarness) -> tuple[Leader, list[str]]:
-    """Returns a leader that writes for the harness's cluster state, and the reasons for which it steps down."""
+    """Returns a leader that writes for the harness's cluster state, and the reasons for which it steps down.
+
+    From then on the calling test and its leader have the harness's clock.
+    """
+    CLOCK.set(HarnessClock(harness))
     lead, _, leading_node = leader(harness.state)
     lead.cluster = lead.commits.cluster = harness.cluster
     harness.cluster.tokens = FencingTokens(lead.token)
