Completions: a process that begins copies the unrecorded ones from the other nodes

Cause: a replica is made once and not again. A process that restarts within a second counts as a holder and holds nothing.

Why it works: a process asks every peer once it begins, until it is answered (for a minute); the leader answers with what it has not recorded, the others with what they hold, restored entries included. Completions are true for good, so entries that are recorded by now do no harm. A peer that knows of no leader restores nothing, so that it is still known that completions may be missing. The messages are those that a new leader sends.

--- a/oatport/control/state/completions.py
+++ b/oatport/control/state/completions.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         # Fencing token -> the last completions that this leader received; some of them are recorded by now.
         self._by_token: dict[int, deque[Completion]] = {}
+        self._restored: list[Completion] | None = None  # copied from other nodes after the start of this process
 
     def add(self, token: int, completions: list[Completion]) -> None:
         """Adds completions that the leader with this fencing token received."""
@@ -40,9 +41,14 @@
         while len(self._by_token) > MAX_LEADERS:
             del self._by_token[min(self._by_token)]
 
+    def restore(self, completions: list[Completion]) -> None:
+        """Adds what another node holds, of any earlier leaders: this process has not received it from them."""
+        self._restored = list(dict.fromkeys([*(self._restored or ()), *completions]))[:MAX_COMPLETIONS]
+
     def before_token(self, token: int) -> list[Completion] | None:
         """Returns completions that leaders before `token` may not have recorded, newest first; None without entries."""
         tokens = sorted((earlier for earlier in self._by_token if earlier < token), reverse=True)
-        if not tokens:
+        if not tokens and self._restored is None:
             return None
-        return [completion for earlier in tokens for completion in reversed(self._by_token[earlier])][:MAX_COMPLETIONS]
+        received = [completion for earlier in tokens for completion in reversed(self._by_token[earlier])]
+        return [*received, *(self._restored or ())][:MAX_COMPLETIONS]
--- a/oatport/service/completion_replication.py
+++ b/oatport/service/completion_replication.py
@@ -11,7 +11,7 @@
 
 from oatport.clients.http import NoResponseError, RequestNotSentError, jitter
 from oatport.clients.peer import PeerClient, UnexpectedReplyError
-from oatport.control.state.completions import CompletionLog
+from oatport.control.state.completions import MAX_COMPLETIONS, CompletionLog
 from oatport.peer_codec import MalformedReplyError
 from oatport.peer_messages import CompletionsReply, CompletionsRequest, Ok, ReplicateCompletions
 from oatport.service.background_tasks import BackgroundTasks
@@ -24,6 +24,9 @@
 REQUEST_TIMEOUT = 300 * MS  # limits how long a failover waits for the peers' completions
 DEPOSED_RETRY_INTERVAL = 300 * MS
 DEPOSED_NOTIFY_ATTEMPTS = 60  # by a deposed leader, to send its completions to an unreachable peer
+RESTORE_RETRY_INTERVAL = 500 * MS
+RESTORE_ATTEMPTS = 120  # by a process that has begun, to ask an unreachable peer
+ANY_TOKEN = 2**62  # higher than every fencing token
 
 
 class ReplicatingNode(Protocol):
@@ -57,8 +60,33 @@
         return Ok()
 
     async def on_request(self, request: CompletionsRequest) -> CompletionsReply:
-        """Returns to a new leader the unrecorded completions of earlier leaders that this node has stored."""
-        return CompletionsReply(self.log.before_token(request.before_token))
+        """Returns the unrecorded completions of leaders before a token: those that this node received or stored."""
+        stored = self.log.before_token(request.before_token)
+        leader = self._node.leader
+        if leader is None or not leader.loaded or leader.token >= request.before_token:
+            return CompletionsReply(stored)
+        return CompletionsReply([*leader.cluster.completions.to_replicate(), *(stored or ())][:MAX_COMPLETIONS])
+
+    async def restore(self) -> None:
+        """Copies the peers' completions after the start of this process, which has lost those of its predecessor.
+
+        Without this, two nodes that restarted one after the other in an outage lost completions that both had held.
+        """
+        await asyncio.gather(*(self._restore_from(peer) for peer in self._node.peers.values()))
+
+    async def _restore_from(self, peer: PeerClient) -> None:
+        request = CompletionsRequest(ANY_TOKEN)
+        for _ in range(RESTORE_ATTEMPTS):
+            try:
+                reply = await peer.ask(request, CompletionsReply.decode_reply, timeout_us=REQUEST_TIMEOUT)
+            except (UnexpectedReplyError, MalformedReplyError):
+                return  # an earlier version
+            except NoResponseError:
+                await asyncio.sleep(seconds(RESTORE_RETRY_INTERVAL))
+                continue
+            if reply.completions is not None:
+                self.log.restore(reply.completions)
+            return
 
     async def loop(self) -> None:
         """Sends a leader's new completions to all peers; the first message may be empty, and announces the leader."""
--- a/oatport/service/node.py
+++ b/oatport/service/node.py
@@ -139,6 +139,7 @@
         background.supervise("state service contact", self._state_service_contact.loop)
         background.supervise("confirmed cancellations", self.peer_notifier.collect_loop)
         background.supervise("completions", self.completion_replicator.loop)
+        background.spawn("restore completions", self.completion_replicator.restore())
         for name, client in self.peers.items():
             background.supervise(f"ping {name}", lambda client=client: self._peer_contact.ping_loop(client))  # type: ignore[misc]
 
--- a/tests/test_task_locations.py
+++ b/tests/test_task_locations.py
@@ -257,6 +257,17 @@
     assert completions[0] == ("j-000001", 2 * MAX_COMPLETIONS - 1, 1)
 
 
+def test_restored_completions_are_of_any_leader_bounded_and_held_once() -> None:
+    log = CompletionLog()
+    for _ in range(2):
+        log.restore([("j-000001", number, 1) for number in range(MAX_COMPLETIONS)])
+    log.restore([("j-000002", 0, 1)])
+    assert log.before_token(1) == [("j-000001", number, 1) for number in range(MAX_COMPLETIONS)]
+    log.add(1, [("j-000003", 0, 1)])
+    assert (log.before_token(2) or [])[:2] == [("j-000003", 0, 1), ("j-000001", 0, 1)]
+    assert len(log.before_token(2) or []) == MAX_COMPLETIONS
+
+
 @pytest.mark.parametrize(
     "rows",
     [
@@ -294,6 +305,76 @@
         await self.ask(request, ignore_reply)
 
 
+class PeerNode:
+    """A peer that is another `Node` of the test; it is unreachable while `node` is None."""
+
+    def __init__(self) -> None:
+        self.node: Node | None = None
+
+    async def ask(self, request: PeerMessage, decode: Callable[[PeerArray], Any], *, timeout_us: int = 0) -> Any:
+        """Returns the node's decoded reply. Raises NoResponseError while it is unreachable."""
+        if self.node is None:
+            raise NoResponseError("unreachable")
+        return decode_reply(await peer_reply(self.node, request.encode()), decode)
+
+
+def _node_with_peer(peer: Node | None) -> tuple[Node, PeerNode]:
+    """Returns a process that has just begun, and its connection to its only peer."""
+    node, connection = Node(node_settings(), Tuning()), PeerNode()
+    connection.node = peer
+    node.peers = {"n1": connection}  # type: ignore[dict-item]
+    return node, connection
+
+
+async def test_completions_survive_nodes_that_restart_one_after_the_other() -> None:
+    """Guards against replicas that are lost with the process that holds them, one process after the other."""
+    holder, _ = _node_with_peer(None)
+    await peer_reply(holder, ["ends", 4, [["j-000001", 2, 1], ["j-000002", 0, 1]]])
+    for _ in range(3):
+        restarted, connection = _node_with_peer(holder)
+        await restarted.completion_replicator.restore()
+        connection.node = None  # the only other node with the completions ends
+        holder = restarted
+    earlier = await holder.completion_replicator.completions_before(9)
+    assert set(earlier.completions) == {("j-000001", 2, 1), ("j-000002", 0, 1)}
+
+
+async def test_a_restarted_node_gets_the_completions_that_the_leader_received_before(state: KeyStore) -> None:
+    harness = ClusterHarness()
+    ref, _ = _job_with_unwritten_completion(harness)
+    lead, _, _ = leader(state)
+    lead.cluster = harness.cluster
+    leading_node, _ = _node_with_peer(None)
+    leading_node.election.leader = lead
+    restarted, _ = _node_with_peer(leading_node)
+    await restarted.completion_replicator.restore()
+    assert restarted.completion_replicator.log.before_token(lead.token + 1) == [(ref, 0, 1)]
+
+
+async def test_a_restarted_node_asks_an_unreachable_peer_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("oatport.service.completion_replication.RESTORE_RETRY_INTERVAL", 0)
+    holder, _ = _node_with_peer(None)
+    await peer_reply(holder, ["ends", 4, [["j-000001", 2, 1]]])
+    restarted, connection = _node_with_peer(None)
+    restoring = asyncio.create_task(restarted.completion_replicator.restore())
+    for _ in range(3):
+        await asyncio.sleep(0)
+    connection.node = holder
+    await restoring
+    assert restarted.completion_replicator.log.before_token(9) == [("j-000001", 2, 1)]
+
+
+async def test_nothing_is_restored_from_nodes_that_know_of_no_leader() -> None:
+    """A restored but empty log would claim that no completion can be missing."""
+    restarted, _ = _node_with_peer(_node_with_peer(None)[0])
+    await restarted.completion_replicator.restore()
+    assert await restarted.completion_replicator.completions_before(9) == EarlierCompletions([], complete=False)
+    old, _ = _node_with_peer(None)
+    old.peers["n1"] = Peer(UnexpectedReplyError("status 400"))  # type: ignore[assignment]
+    await old.completion_replicator.restore()
+    assert old.completion_replicator.log.before_token(9) is None
+
+
 async def test_a_new_leader_requests_completions_from_all_nodes_and_ignores_malformed_or_missing_replies() -> None:
     node = Node(node_settings(), Tuning())
     node.peers = {
