--- a/oatport/control/storage/batch_builder.py
+++ b/oatport/control/storage/batch_builder.py
@@ -86,11 +86,12 @@
         limit = max(2, self._max_operations // 2) if has_urgent else self._max_operations
         for job_id, job in list(writes.jobs_to_cancel.items()):
             key, value = job_key(job_id), encode_job(job, wire.JobStatus.CANCELLED)
-            max_bytes = _set_bytes(key, value) + _deletes_bytes([blocked_key(job_id)])
-            if not self._fits(2, max_bytes, [key]) or (batch.operation_count and batch.operation_count + 2 > limit):
+            max_bytes = _set_bytes(key, value)
+            total_bytes = max_bytes + _deletes_bytes([blocked_key(job_id)])
+            if not self._fits(2, total_bytes, [key]) or (batch.operation_count and batch.operation_count + 2 > limit):
                 return
             del writes.jobs_to_cancel[job_id]
-            self._set_job(key, value, job)
+            self._set_job(key, value, max_bytes, job)
             self._add_deletes([blocked_key(job_id)])
             batch.cancelled_jobs.append(job)
 
@@ -99,10 +100,11 @@
         for job in list(writes.jobs_to_complete):
             keys = writes.stored_job_keys(job)
             key, value = job_key(job.job_id), encode_completed_job(job, batch.completed_at)
-            if not self._fits(1 + len(keys), _set_bytes(key, value) + _deletes_bytes(keys), [key]):
+            max_bytes = _set_bytes(key, value)
+            if not self._fits(1 + len(keys), max_bytes + _deletes_bytes(keys), [key]):
                 return
             del writes.jobs_to_complete[job]
-            self._set_job(key, value, job)
+            self._set_job(key, value, max_bytes, job)
             self._add_deletes(keys)
             batch.completed_jobs.append(job)
 
@@ -134,11 +136,11 @@
                 return
             self._add_deletes([orphaned_keys.pop()])
 
-    def _set_job(self, key: str, value: Any, job: Job) -> None:
-        """Adds the record of a finished job."""
+    def _set_job(self, key: str, value: Any, max_bytes: int, job: Job) -> None:
+        """Adds the record of a finished job; `max_bytes`: an upper bound on what it adds."""
         self.batch.conditions[key] = job.version
         self.batch.sets[key] = value
-        self.batch.max_bytes += _set_bytes(key, value)
+        self.batch.max_bytes += max_bytes
 
     def _add_deletes(self, keys: list[str]) -> None:
         """Adds the deletion of keys, as many as there is room for; the others become orphaned keys."""
--- a/oatport/simulation/state_service.py
+++ b/oatport/simulation/state_service.py
@@ -15,8 +15,8 @@
     LEASE_DURATION_MS,
     MAX_LISTED_ENTRIES,
     WATCH_WAIT_MS,
-    entries_of_page,
     job_id_in,
+    rows_within_response,
     transaction_error,
 )
 from oatport.simulation.virtual_time import Host
@@ -97,8 +97,9 @@
         self.expire()
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
         candidates = keys[: min(page, MAX_LISTED_ENTRIES)]
-        rows = [{"path": k, "value": self.items[k][0], "entryRev": self.items[k][1]} for k in candidates]
-        rows = entries_of_page(rows, page)
+        rows = rows_within_response(
+            [{"path": k, "value": self.items[k][0], "entryRev": self.items[k][1]} for k in candidates]
+        )
         return 200, {"rows": rows, "hasNext": len(keys) > len(rows), "ledgerRev": self.revision}
 
     def commit(self, body: dict[str, Any]) -> ServiceResponse:
--- a/oatport/simulation/transaction_validation.py
+++ b/oatport/simulation/transaction_validation.py
@@ -37,11 +37,11 @@
     return rest.partition("/")[0]
 
 
-def entries_of_page(rows: list[dict[str, Any]], page: int) -> list[dict[str, Any]]:
-    """Returns the first rows, as many as one response may hold, and at least one if there is any."""
-    size, fitting = 0, rows[: min(page, MAX_LISTED_ENTRIES)]
-    for number, row in enumerate(fitting):
+def rows_within_response(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Returns the first rows, as many as the bytes of one response allow, and at least one if there is any."""
+    size = 0
+    for number, row in enumerate(rows):
         size += json_size(row) + 1
         if number and size > MAX_LISTED_BYTES:
-            return fitting[:number]
-    return fitting
+            return rows[:number]
+    return rows
--- a/tests/cluster_fixture.py
+++ b/tests/cluster_fixture.py
@@ -34,6 +34,7 @@
     live_key,
 )
 from oatport.control.storage.recovery import load_cluster
+from oatport.control.storage.schema_version import SCHEMA_VERSION
 from oatport.control.storage.write_batch import WriteBatch
 from oatport.settings import (
     CloudLimits,
@@ -300,6 +301,11 @@
         if notify_leader:
             self.cluster.job_lifecycle.cancel(ref, value["ledgerRev"])
 
+    def enable_record_parts(self) -> None:
+        """Records that all nodes read record parts, and starts a new leader's term."""
+        self.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
+        self.fail_over()
+
     def machine(self, number: int, zone: str = "a", *, spot: bool = False, kind: str = "m8") -> Worker:
         """Adds a machine; the leader learns of it by its first heartbeat."""
         name = f"vm-{number:06d}"
--- a/tests/test_amqp_queues.py
+++ b/tests/test_amqp_queues.py
@@ -21,7 +21,8 @@
 from oatport.clients.http import RequestRefusedError
 from oatport.clients.state import LeaseExpiredError, Listing
 from oatport.control.leadership.leader_lease import LeaderLease
-from oatport.lab.queues import Senders, audit
+from oatport.lab.queue_senders import Senders
+from oatport.lab.queues import audit
 from oatport.queues.client import AnswerCache, Sender
 from oatport.queues.core import SchedulerOutcome, SchedulerResponse
 from oatport.queues.gateway import Gateway
--- a/tests/test_schema_versions.py
+++ b/tests/test_schema_versions.py
@@ -40,8 +40,7 @@
     """Returns a cluster with `machines` machines, which writes the new formats if `gate_open`."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
     if gate_open:
-        harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-        harness.fail_over()
+        harness.enable_record_parts()
     for number in range(1, machines + 1):
         harness.machine(number, zone="ab"[number % 2])
     harness.settle(3)
--- a/tests/test_size_limits.py
+++ b/tests/test_size_limits.py
@@ -17,8 +17,7 @@
 from oatport.control.scaling.capacity_slot import CapacitySlot
 from oatport.control.state.capacity import task_slots_when_empty
 from oatport.control.state.task import TaskPhase
-from oatport.control.storage.keys import SCHEMA_VERSION_KEY, blocked_key, job_key, live_key
-from oatport.control.storage.schema_version import SCHEMA_VERSION
+from oatport.control.storage.keys import blocked_key, job_key, live_key
 from oatport.control.storage.write_batch import WriteBatch
 from oatport.peer_messages import JobProgressUpdate
 from oatport.service.group_commit import REFUSED_RETRY_INTERVAL
@@ -44,8 +43,7 @@
 def harness_with_blocked_jobs(dependents: int, dependencies: int) -> tuple[ClusterHarness, list[str], list[str]]:
     """Returns a cluster in which each of some jobs waits for all of some others; the ids of both."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     first = [harness.submit(legs=1, cores=0.01, memoryGb=0.01, voyageS=1.0) for _ in range(dependencies)]
     waiting = [harness.submit(legs=1, cores=0.01, memoryGb=0.01, voyageS=1.0, waitsOn=first) for _ in range(dependents)]
     return harness, first, waiting
@@ -79,8 +77,7 @@
 def test_a_record_with_its_prerequisites_is_split_where_it_exceeds_64_kib() -> None:
     """Guards against a job whose records fit into the operations of a transaction, but not into its bytes."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     for number in range(1, 7):
         harness.machine(number)
     first = [harness.submit(legs=1, cores=0.01, memoryGb=0.01) for _ in range(2)]
@@ -142,10 +139,9 @@
 async def test_a_job_whose_record_is_refused_stops_no_other_job_under_any_leader() -> None:
     """Guards against a leader that steps down for a record which each of its successors has to write as well."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
     for number in range(1, 4):
         harness.machine(number)
-    harness.fail_over()
+    harness.enable_record_parts()
     harness.settle(2)
     refused = harness.submit(legs=2, cores=1.0)
     for _ in range(3):
@@ -167,8 +163,7 @@
 async def test_a_record_that_no_transaction_can_hold_stops_no_other_record() -> None:
     """Guards against a record that is never refused, as it is never sent, and that all others wait for."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     harness.machine(1)
     harness.settle(2)
     lead, step_down_reasons = lead_cluster(harness)
@@ -186,8 +181,7 @@
 async def test_a_withheld_record_is_written_once_the_state_service_takes_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an accepted job that never runs because its record was refused for a while."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     harness.machine(1)
     harness.settle(2)
     monkeypatch.setattr("oatport.service.group_commit.steady", lambda: harness.now)
@@ -232,8 +226,7 @@
 async def test_a_refused_completion_keeps_its_task_on_record_until_it_is_written() -> None:
     """Guards against a completion that is neither recorded nor pending, whose task would run again."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     harness.machine(1)
     harness.settle(2)
     ref = harness.submit(legs=1, voyageS=5.0)
@@ -258,8 +251,7 @@
 ) -> None:
     """Guards against a completion whose condition failed again and again, and with it each transaction it was in."""
     harness = ClusterHarness(UNLIMITED_TEAM, STATE_LIMITS)
-    harness.state.commit({"if": [], "then": [{"set": SCHEMA_VERSION_KEY, "value": {"reads": SCHEMA_VERSION}}]})
-    harness.fail_over()
+    harness.enable_record_parts()
     harness.machine(1)
     harness.settle(2)
     monkeypatch.setattr("oatport.service.group_commit.steady", lambda: harness.now)
