Simulation: copies of every request that changes something, answered ones too, in four of five plans

Cause that no test saw the incident: the simulated network copied commits, rentals, releases and submissions only, with the reason that a command is not executed again after its response. The service made the same assumption, which the users' pages do not grant.

Change: the fault late_repeats copies commands, transactions, leases, rentals, releases, submissions and messages between nodes, up to a minute late, also after the answer. "random" and "fault-interactions" have it in four of five plans, drawn last, so that the rest of each plan stays as it was.

--- a/oatport/simulation/fault_interactions.py
+++ b/oatport/simulation/fault_interactions.py
@@ -343,4 +343,6 @@
         rng.choice(FAULT_INTERACTIONS)(builder)
     elif second_fault_draw < 0.5:
         builder.crash_random_node(builder.random_time_s())
-    return builder.build(machines * rng.choice([0.5, 1]))
+    jobs_a_minute = machines * rng.choice([0.5, 1])
+    builder.add_late_copies()
+    return builder.build(jobs_a_minute)
--- a/oatport/simulation/network.py
+++ b/oatport/simulation/network.py
@@ -32,7 +32,8 @@
 RECONNECT_US, RECONNECT_MAX_US = 300 * MS, 12 * SECOND
 CONNECT_RETRY_US = SECOND  # interval between attempts to open a connection
 MAX_RECORDED_MESSAGES = 6_000
-DUPLICABLE_PATHS = frozenset((wire.COMMIT_PATH, wire.MACHINES_PATH, wire.RELEASE_PATH, wire.SUBMISSIONS_PATH))
+HEARTBEAT_COPY_SHARE, COMMAND_COPY_SHARE, REQUEST_COPY_SHARE = 0.2, 0.3, 0.1  # of the messages during the fault
+COPIED_METHODS = ("POST", "DELETE")  # requests with other methods change nothing
 
 RequestHandler = Callable[[str, str, Any], Any]  # method, path, body -> (status, value) or an awaitable of it
 
@@ -74,6 +75,12 @@
     future: asyncio.Future[tuple[int, bytes]]
 
 
+def _copy_share(path: str) -> float:
+    """Returns the share of requests to a path of which a copy is sent."""
+    shares = {wire.HEARTBEAT_PATH: HEARTBEAT_COPY_SHARE, wire.COMMANDS_PATH: COMMAND_COPY_SHARE}
+    return shares.get(path, REQUEST_COPY_SHARE)
+
+
 class SimulatedNetwork:
     """Holds the network of one run: listening addresses, link rules and all requests in progress."""
 
@@ -296,19 +303,16 @@
             return 400, None
 
     def _duplicate(self, source: Host, address: str, method: str, target: str, data: bytes | None) -> None:
-        """Sends a copy of a request later: heartbeats go to any node, other requests to the same address.
+        """Sends a copy of a request later, also after its response.
 
-        Commands are not duplicated, because a command is not executed again after its response. PROTOCOL allows copies
-        of heartbeats, and of requests that their sender repeats.
+        Copies of heartbeats go to any node, those of other requests to the same address.
         """
         path = target.split("?")[0]
+        is_heartbeat = path == wire.HEARTBEAT_PATH
         for kind, max_delay_s, addresses in self.duplications:
-            is_heartbeat = path == wire.HEARTBEAT_PATH
-            if (kind == "reports") != is_heartbeat or (
-                not is_heartbeat and (method != "POST" or path not in DUPLICABLE_PATHS)
-            ):
+            if (kind == "reports") != is_heartbeat or method not in COPIED_METHODS:
                 continue
-            if self._rng.random() > (0.2 if is_heartbeat else 0.1):
+            if self._rng.random() > _copy_share(path):
                 continue
             destination = self._rng.choice(addresses) if is_heartbeat else address
             delay = round(self._rng.uniform(0.05, max_delay_s) * SECOND)
--- a/oatport/simulation/plan_builder.py
+++ b/oatport/simulation/plan_builder.py
@@ -86,6 +86,14 @@
         self.add_task_burst(at_s, name)
         self.add("links_slow", at_s, window_s, source="node", target="worker", amount=delay_s)
 
+    def add_late_copies(self) -> None:
+        """Adds, to four of five plans, copies of executed requests that arrive up to a minute later.
+
+        Must be called after all other random choices: plans without copies stay the same.
+        """
+        if self.rng.random() < 0.8:
+            self.add("late_repeats", 5.0, self.for_s - 15.0, amount=self.rng.choice([1.0, 8.0, 20.0, 60.0]))
+
     def cancel_jobs(self, at_s: float, span_s: float, tenths: int = 4) -> None:
         """Makes users cancel jobs within `span_s` seconds; `tenths` is the number of jobs in tenths of the machines."""
         self.add("users_cancel", at_s, count=self.tenth_of_machines * tenths, amount=max(span_s, 0.1))
--- a/oatport/simulation/scenario_generator.py
+++ b/oatport/simulation/scenario_generator.py
@@ -40,7 +40,9 @@
         builder.faults.append(rng.choice(SINGLE_FAULTS)(builder, rng.uniform(12, for_s * 0.75)))
     for pattern in (targeted, *rng.sample(OTHER_PATTERNS, other_pattern_count)):
         pattern(builder)
-    return builder.build(machines / 2 * (0.5 if is_alone else rng.choice((0.5, 0.5, 1, 2))))
+    jobs_a_minute = machines / 2 * (0.5 if is_alone else rng.choice((0.5, 0.5, 1, 2)))
+    builder.add_late_copies()
+    return builder.build(jobs_a_minute)
 
 
 def unreachable_machines_plan(
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine
 from itertools import pairwise
 from pathlib import Path
@@ -137,6 +138,49 @@
     assert hosts.received[0][0] > 1_007
 
 
+@pytest.mark.parametrize(
+    ("method", "path", "is_copied"),
+    [
+        ("POST", wire.COMMANDS_PATH, True),
+        ("POST", wire.COMMIT_PATH, True),
+        ("POST", wire.PEER_PATH, True),
+        ("POST", wire.RELEASE_PATH, True),
+        ("POST", f"{wire.LEASES_PATH}/7/touch", True),
+        ("DELETE", f"{wire.LEASES_PATH}/7", True),
+        ("GET", wire.STORE_PATH, False),
+        ("POST", wire.HEARTBEAT_PATH, False),  # the fault report_copies copies heartbeats
+    ],
+)
+def test_copies_of_answered_requests_arrive_later_and_their_responses_reach_nobody(
+    method: str, path: str, is_copied: bool
+) -> None:
+    hosts = EchoHosts()
+    hosts.net.duplications.append(("requests", 5.0, []))
+
+    async def scenario() -> None:
+        for number in range(60):
+            response = await hosts.net.request(hosts.a, "b:1", method, path, number, SECOND, "")
+            assert response == (200, number)
+        await asyncio.sleep(6)
+
+    hosts.run(scenario())
+    copies = Counter(body for _, body in hosts.received)
+    assert set(copies) == set(range(60))
+    assert max(copies.values()) == (2 if is_copied else 1)
+    if is_copied:
+        last_arrivals = {body: at for at, body in hosts.received}
+        assert max(at for body, at in last_arrivals.items() if copies[body] == 2) > 1_001
+
+
+def test_the_invariant_checker_detects_forget_commands_without_a_fence() -> None:
+    burst = Fault("rush", 8.0, 6.0, name="guest", amount=30.0)
+    faults = (Fault("late_repeats", 5.0, 50.0, amount=20.0), burst, Fault("machine_die", 15.0, count=3))
+    plan = Plan(faults, 60.0, 3, 16, 40.0)
+    unfenced = RunRequest(plan=plan, disabled_check="forget-fence")
+    assert any("ran_twice" in run_scenario(unfenced, seed).broken_invariants for seed in range(8))
+    assert run_scenario(RunRequest(plan=plan), 0).violations == []
+
+
 def test_a_crashed_host_resets_its_connections_and_refuses_new_ones() -> None:
     hosts = EchoHosts()
 
