--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -85,6 +85,13 @@
     assert worker.started_attempts == [key]
 
 
+def test_a_late_copy_of_an_answered_start_does_nothing_on_a_machine_that_counts_its_epochs_from_1_again() -> None:
+    harness, worker, key = _forgotten_attempt("array", _stop)
+    worker.restart(reset_epoch=True)
+    _deliver_copies(harness, worker)
+    assert worker.started_attempts == [key]
+
+
 # --- the fence ------------------------------------------------------------------------------------
 
 
