--- a/oatport/control/leadership/fencing_tokens.py
+++ b/oatport/control/leadership/fencing_tokens.py
@@ -1,8 +1,7 @@
 """The fencing tokens that a leader may use: that of its term, and higher ones for single machines.
 
-A worker executes direct commands as long as their token and worker epoch still match (PROTOCOL, "Delayed messages"), so
-a copy of a start command that was answered may be executed again once the worker has forgotten the attempt. A higher
-token makes the worker refuse all copies of earlier commands.
+A worker sends a heartbeat soon after it receives a higher token (PROTOCOL, "Workers -> controller nodes"), so a leader
+raises the token of a single machine to request its heartbeat.
 
 The token of a term is the revision of the leader key. A commit of the leader is conditional on that revision, so each
 revision at which such a commit was applied is lower than the token of every later leader. A leader may therefore use
--- a/oatport/control/placement/retry_policy.py
+++ b/oatport/control/placement/retry_policy.py
@@ -6,8 +6,8 @@
 - its start was never sent: the binding was not committed, or this leader sent no start for it;
 - the worker refused it (`full`, `in_use`, `unknown`), or its gang never became complete (`incomplete`);
 - the worker does not list it under the leader's own fencing token and in the worker epoch in which it was bound. An
-  executed start stays listed until a `forget`, which is sent only after its completion was recorded, and starts under
-  an earlier token are refused from then on.
+  executed start stays listed until a `forget`, which is sent only after its completion was recorded, and starts of
+  earlier leaders are refused.
 
 Any other attempt may have begun: its machine is gone, its lease expired, it ended with an error or was stopped, or an
 earlier leader bound it to a worker whose epoch has changed since.
--- a/oatport/control/state/heartbeats.py
+++ b/oatport/control/state/heartbeats.py
@@ -58,8 +58,7 @@
             self._on_new_epoch(machine, now)
         elif machine.command_unreachable and now - machine.worker_epoch_seen_at > cluster.lease_us:
             machine.command_unreachable = False  # otherwise the worker's lease and epoch would have ended
-        machine.worker_epoch, machine.heartbeat_seq = report.worker_epoch, report.heartbeat_seq
-        machine.fencing_token = report.fencing_token
+        self._update_position(machine, report, now)
         self._apply_reclamation_notice(machine, report.reclamation_notice_s, now)
         if machine.settled_heartbeat is not None and not is_new_epoch and machine.settled_heartbeat == report.tasks:
             return machine  # its tasks are unchanged since the last heartbeat, and as intended
@@ -76,6 +75,13 @@
         self.cluster.writes.mark_machine_dirty(machine, urgent=not machine.persisted)
         self.cluster.planning_needed = True
 
+    @staticmethod
+    def _update_position(machine: Machine, report: wire.Heartbeat, now: int) -> None:
+        machine.worker_epoch, machine.heartbeat_seq = report.worker_epoch, report.heartbeat_seq
+        if report.fencing_token > max(machine.fencing_token, machine.command_token):
+            machine.token_changed_at = now
+        machine.fencing_token = report.fencing_token
+
     @staticmethod
     def _on_new_epoch(machine: Machine, now: int) -> None:
         """Handles a new worker epoch: all tasks of the machine ended, and starts of earlier epochs are refused."""
@@ -84,10 +90,7 @@
             # The machine is now empty and would otherwise look like the best place for the next tasks.
             machine.command_unreachable = True
         machine.worker_epoch_seen_at = now
-        # From now on the worker refuses starts sent under an earlier epoch, and starts under an earlier fencing token
-        # once it has seen this leader's token.
-        machine.unacknowledged_starts.clear()
-        machine.starts_in_response.clear()
+        machine.starts_in_response.clear()  # the worker drops responses to heartbeats of an earlier epoch
         # Images on the machine stay, but fetches in progress are dropped, as no task waits for them any more.
         machine.images = {image: at for image, at in machine.images.items() if at == 1}
 
@@ -141,7 +144,6 @@
         return (
             not machine.orphaned_attempts
             and not machine.terminated_attempts
-            and not machine.unacknowledged_starts
             and listed_count == len(machine.tasks)
             and all(
                 task.start_acknowledged is not None
@@ -208,37 +210,28 @@
         self.cluster.tasks.requeue(task, lost=is_loss and not was_stopped, unexecuted=reason in REFUSAL_REASONS)
 
     def _on_unlisted_task(self, task: Task, machine: Machine, report: wire.Heartbeat, now: int) -> None:
-        """Requeues a bound task that the newest heartbeat does not list, unless a start command may still create it."""
+        """Requeues a bound task that the newest heartbeat does not list, unless a start may still create it."""
         if not self.cluster.tokens.includes(report.fencing_token):
             return  # a start of an earlier leader may still arrive
         if task.binding_at and not task.start_epoch:
             self.cluster.machines_to_command.add(machine)  # bound by this leader, and its first start is due now
             return
-        is_start_in_flight = bool(machine.unacknowledged_starts.get((task.name, task.attempt)))
-        if task.start_epoch and report.worker_epoch <= task.start_epoch:
-            if self._is_cancelled_and_not_started(task, machine):
-                pass  # no start is in flight and none will be sent: the task is not on the machine and never will be
-            elif task.start_acknowledged is None or is_start_in_flight:
-                self.cluster.machines_to_command.add(machine)  # this leader's start is in flight or was lost: repeat it
-                if task.binding_at and now - task.binding_at > UNREPORTED_START_TIMEOUT:
-                    machine.command_unreachable = True
-                return
+        may_start = task.start_acknowledged is None and not self._was_withdrawn_unstarted(task, machine)
+        if task.start_epoch and report.worker_epoch <= task.start_epoch and may_start:
+            self.cluster.machines_to_command.add(machine)  # this leader's start is in flight or was lost: repeat it
+            if task.binding_at and now - task.binding_at > UNREPORTED_START_TIMEOUT:
+                machine.command_unreachable = True
+            return
         log.info("task gone from machine task=%s attempt=%d machine=%s", task.name, task.attempt, machine.name)
         # The epoch is that of the binding, and no heartbeat to this leader listed the attempt: no start was executed.
-        unexecuted = (
-            task.start_acknowledged is None and report.worker_epoch == task.binding_epoch and not is_start_in_flight
-        )
+        unexecuted = task.start_acknowledged is None and report.worker_epoch == task.binding_epoch
         self.cluster.tasks.requeue(task, lost=bool(task.start_epoch), unexecuted=unexecuted)
 
     @staticmethod
-    def _is_cancelled_and_not_started(task: Task, machine: Machine) -> bool:
-        key = (task.name, task.attempt)
-        return (
-            task.job.cancelled
-            and task.start_acknowledged is None
-            and not machine.unacknowledged_starts.get(key)
-            and key not in machine.starts_in_response
-        )
+    def _was_withdrawn_unstarted(task: Task, machine: Machine) -> bool:
+        """Returns whether a task is to leave a machine that it was never on: no start is in flight or will be sent."""
+        is_withdrawn = task.job.cancelled or task.stop_grace_s is not None
+        return is_withdrawn and (task.name, task.attempt) not in machine.starts_in_response
 
     def _on_unbound_attempts(self, machine: Machine, rows: list[wire.TaskReport]) -> None:
         """Updates the terminated attempts, and the orphaned ones: in the heartbeat, but not bound to this machine."""
--- a/oatport/control/state/machine.py
+++ b/oatport/control/state/machine.py
@@ -29,6 +29,7 @@
     rented_at_wall: int = 0  # time of day, for the record
     ready_at: int = 0  # first heartbeat received by this leader; 0: none
     was_ready: bool = False  # per its record, ready under an earlier leader
+    rented_in_term: bool = False  # rented by this leader, so no earlier one has sent commands to it
     worker_epoch: int = 0
     heartbeat_seq: int = -1
     fencing_token: int = 0  # as in the newest heartbeat
@@ -41,14 +42,12 @@
     orphaned_attempts: dict[tuple[str, int], tuple[Job | None, wire.Submission | None]] = field(default_factory=dict)
     # Terminated attempts that the worker's heartbeats still list.
     terminated_attempts: set[tuple[str, int]] = field(default_factory=set)
-    # Attempt -> number of start commands sent whose outcome is unknown. One of them may still arrive, so no `forget` is
-    # sent for the attempt: a start after a `forget` would start it again.
-    unacknowledged_starts: dict[tuple[str, int], int] = field(default_factory=dict)
-    # Starts in the response to the newest heartbeat, and that heartbeat's epoch and sequence number.
+    # Starts in the response to the newest heartbeat, and that heartbeat's epoch and sequence number. The response may
+    # still arrive, so no `forget` is sent for these attempts: a start after a `forget` would start them again.
     starts_in_response: set[tuple[str, int]] = field(default_factory=set)
     answered_heartbeat: tuple[int, int] = (0, 0)
     command_token: int = 0  # token of the newest message to the worker, if higher than that of the leader's term
-    newest_start_token: int = 0  # highest token under which this leader sent a start
+    token_changed_at: int = 0  # when this leader last sent the worker a higher token, or first received one from it
     images: dict[str, int] = field(default_factory=dict)  # image -> time of the first binding that needs it; 1: present
     free_cpus: float = 0.0
     free_gpus: float = 0.0
@@ -136,7 +135,7 @@
         if self.releasing or self.draining:
             return False
         if self.ready_at:
-            return self.fencing_token < token and not self.tasks  # ready, and about to receive this leader's token
+            return not self.is_confirmed(token) and not self.tasks  # ready, and about to receive this leader's token
         return not self.was_ready and now - self.rented_at < 2 * micros(self.type.boot_time_s) + 5 * SECOND
 
     def on_process_pause(self, pause_us: int, now: int) -> None:
@@ -159,11 +158,15 @@
         """
         return self.ready_at > 0 and self.fencing_token >= token
 
+    def is_confirmed(self, token: int) -> bool:
+        """Returns whether no commands of an earlier leader can arrive. `token`: that of this leader's term."""
+        return self.rented_in_term or self.fencing_token >= token
+
     def is_usable(self, token: int, now: int, max_age_us: int) -> bool:
         """Returns whether tasks may be placed here. `max_age_us`: maximum age of the newest heartbeat."""
         return (
             self.persisted
-            and self.fencing_token >= token
+            and self.is_confirmed(token)
             and self.ready_at > 0
             and not self.draining
             and not self.releasing
--- a/oatport/control/state/machine_commands.py
+++ b/oatport/control/state/machine_commands.py
@@ -1,8 +1,15 @@
-"""Commands to machines: which ones are due, and the outcome of those that were sent."""
+"""Commands to machines: which ones are due, and the outcome of those that were sent.
+
+Starts and forgets are sent in heartbeat responses only. A worker drops a response that is late, whereas a copy of a
+direct message may be executed minutes later (PROTOCOL, "Delayed messages"), also by a machine that has restarted with
+its first epoch and no token, which nothing can fence. A direct message contains stops only, which start nothing however
+late they arrive. If a start is due, its token is raised, which makes the worker send a heartbeat soon.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from oatport import wire
@@ -10,39 +17,46 @@
 from oatport.control.state.job import JobKind
 from oatport.control.state.machine import Machine
 from oatport.control.state.task import Task, TaskPhase
-from oatport.times import SECOND
+from oatport.times import MS
 
 if TYPE_CHECKING:
     from oatport.control.state.cluster_state import ClusterState
 
+HEARTBEAT_REQUEST_MARGIN = 50 * MS  # added to half of the lease, for clock drift and latency
+
+
+@dataclass(frozen=True, slots=True)
+class DirectMessage:
+    """Holds a message to a worker that is no heartbeat response. `requests_heartbeat`: its token is raised."""
+
+    fencing_token: int
+    stops: list[wire.Command]
+    requests_heartbeat: bool
+
 
 class MachineCommands:
-    """Determines the start, stop and forget commands for workers, and tracks start commands in flight."""
+    """Determines the start, stop and forget commands for workers, and tracks starts in flight."""
 
     def __init__(self, cluster: ClusterState) -> None:
         self.cluster = cluster
+        # A worker sends a heartbeat for a higher token at most once in half of its lease.
+        self._heartbeat_request_interval = cluster.lease_us // 2 + HEARTBEAT_REQUEST_MARGIN
+        shortest_objective = min(cluster.objectives.start_within.values(), default=None)
+        self._are_requests_reserved = (
+            shortest_objective is not None and shortest_objective < cluster.heartbeat_interval_us
+        )
+
+    # --- heartbeat responses ----------------------------------------------------------------------
 
-    def for_machine(self, machine: Machine, now: int, *, direct: bool) -> tuple[list[wire.Command], list[Task]]:
-        """Returns the commands due for a machine, and the tasks that they start. `direct`: not a heartbeat response.
+    def for_response(self, machine: Machine) -> tuple[list[wire.Command], list[Task]]:
+        """Returns the commands due in the response to a machine's heartbeat, and the tasks that they start.
 
         At most as many as fit into one message; the others are due again with the next one.
         """
-        commands: list[wire.Command] = []
-        starts: list[Task] = []
-        confirmed = self.cluster.tokens.includes(machine.fencing_token)
-        for task in machine.tasks:
-            if task.phase is not TaskPhase.BOUND:
-                continue
-            is_start_due = self._is_start_due(task, now, direct=direct, confirmed=confirmed)
-            if len(commands) + is_start_due + (task.stop_grace_s is not None) > wire.MAX_COMMANDS_PER_MESSAGE:
-                break  # a start is never sent without the stop that follows it
-            if is_start_due:
-                commands.append(wire.StartCommand(task.name, task.attempt))
-                starts.append(task)
-            if task.stop_grace_s is not None:
-                commands.append(wire.StopCommand(task.name, task.attempt, task.stop_grace_s))
-        commands += [wire.StopCommand(name, attempt, 0.0) for name, attempt in machine.orphaned_attempts]
-        if confirmed and self._is_fenced(machine):
+        starts = [task for task in machine.tasks if self._is_start_due(machine, task)][: wire.MAX_COMMANDS_PER_MESSAGE]
+        commands: list[wire.Command] = [wire.StartCommand(task.name, task.attempt) for task in starts]
+        commands += self._due_stops(machine)
+        if self.cluster.tokens.includes(machine.fencing_token):
             commands += [
                 wire.ForgetCommand(name, attempt)
                 for name, attempt in machine.terminated_attempts
@@ -50,76 +64,38 @@
             ]
         return commands[: wire.MAX_COMMANDS_PER_MESSAGE], starts
 
-    def _is_start_due(self, task: Task, now: int, *, direct: bool, confirmed: bool) -> bool:
-        """Returns whether a task's start is to be sent or repeated. `confirmed`: the newest heartbeat has our token."""
-        if not task.start_epoch and (not confirmed or task.binding_at == 0):
-            # Started by an earlier leader: the first heartbeat under this leader's token shows whether it is there.
-            return False
-        waits_for_retry = direct and task.start_retry_at > now
-        return task.start_acknowledged is None and not waits_for_retry and self._may_start(task, now)
-
-    def _may_start(self, task: Task, now: int) -> bool:
-        """Returns whether a start may be sent; a gang starts as a whole, so all its bindings must be committed.
+    def _is_start_due(self, machine: Machine, task: Task) -> bool:
+        """Returns whether a task's start is to be sent, or repeated because no heartbeat has listed the task.
 
-        A start of a cancelled job that may be in flight is repeated, and stopped at once: the worker then knows the
-        attempt, and a start that arrives late has no effect. It is not repeated if the cancellation was confirmed too
-        long ago, as after an outage.
+        A gang starts as a whole, so all its bindings must be committed.
         """
-        job = task.job
-        if job.cancelled and not job.failure_reason and now >= self.cluster.job_lifecycle.lease_renewal_bound(job):
+        if task.phase is not TaskPhase.BOUND or task.start_acknowledged is not None:
             return False
-        if job.kind is not JobKind.GANG:
+        if task.stop_grace_s is not None or task.job.cancelled:
+            return False
+        if not task.start_epoch and (task.binding_at == 0 or not machine.is_confirmed(self.cluster.fencing_token)):
+            # Started by an earlier leader: the first heartbeat under this leader's token shows whether it is there.
+            return False
+        if task.job.kind is not JobKind.GANG:
             return True
-        return all(member.phase is not TaskPhase.BINDING for member in job.tasks.values())
+        return all(member.phase is not TaskPhase.BINDING for member in task.job.tasks.values())
 
-    def must_let_lease_expire(self, machine: Machine, now: int) -> bool:
-        """Returns whether a start of a cancelled job may arrive so late that only a new worker epoch can refuse it.
-
-        A start delayed in the network is neither on the machine, to be stopped, nor proven lost: the machine's lease
-        has to end before `cancel_s` is over.
-        """
-        return bool(machine.unacknowledged_starts) and any(
-            task.job.cancelled
-            and not task.job.failure_reason
-            and task.start_acknowledged is None
-            and task.start_epoch == machine.worker_epoch
-            and machine.unacknowledged_starts.get((task.name, task.attempt))
-            and now >= self.cluster.job_lifecycle.lease_renewal_bound(task.job)
+    def _due_stops(self, machine: Machine) -> list[wire.Command]:
+        """Returns the stops of tasks that are to leave the machine and of its orphaned attempts."""
+        stops: list[wire.Command] = [
+            wire.StopCommand(task.name, task.attempt, task.stop_grace_s)
             for task in machine.tasks
-        )
-
-    def token_for(self, machine: Machine) -> int:
-        """Returns the fencing token for messages to a machine; the worker drops any with a lower one."""
-        return max(self.cluster.fencing_token, machine.command_token)
-
-    def raise_token_for_forgets(self, machine: Machine) -> None:
-        """Raises a machine's token so that its terminated attempts can be forgotten, if an own commit allows it.
-
-        For heartbeat responses only, and while no direct request is in flight: the worker refuses requests and drops
-        responses that were sent under the lower token.
-        """
-        if self._is_fenced(machine) or not self.cluster.tokens.includes(machine.fencing_token):
-            return
-        raised_token = self.token_for(machine) + 1
-        if not self.cluster.tokens.includes(raised_token):
-            return
-        if any(self._may_forget(machine, name, attempt) for name, attempt in machine.terminated_attempts):
-            machine.command_token = raised_token
-
-    def _is_fenced(self, machine: Machine) -> bool:
-        """Returns whether messages to a machine now carry a higher token than every start that was sent to it.
-
-        The worker's memory of an attempt is what makes copies of its start harmless; a `forget` may remove it only
-        once the worker refuses those copies by their token.
-        """
-        return self.token_for(machine) > machine.newest_start_token
+            if task.phase is TaskPhase.BOUND and task.stop_grace_s is not None
+        ]
+        stops += [wire.StopCommand(name, attempt, 0.0) for name, attempt in machine.orphaned_attempts]
+        return stops
 
     def _may_forget(self, machine: Machine, name: str, attempt: int) -> bool:
-        """Returns whether a worker may forget an attempt in a message whose token fences all its starts.
+        """Returns whether a worker may forget an attempt.
 
-        It may not while a start is unacknowledged, nor before the attempt's completion is committed.
+        It may not while a response with its start may arrive, nor before the attempt's completion is committed.
         """
-        if machine.unacknowledged_starts.get((name, attempt)) or (name, attempt) in machine.starts_in_response:
+        if (name, attempt) in machine.starts_in_response:
             return False
         parts = split_task(name)
         if parts is None:
@@ -145,36 +121,63 @@
             machine.answered_heartbeat = heartbeat_id
             machine.starts_in_response.clear()
 
-    def on_sent(self, machine: Machine, starts: Iterable[Task], now: int, *, direct: bool) -> None:
-        """Records starts that are about to be sent under the machine's present epoch and token."""
+    def on_starts_sent(self, machine: Machine, starts: Iterable[Task]) -> None:
+        """Records the starts in a heartbeat response that is about to be sent."""
         for task in starts:
-            machine.newest_start_token = self.token_for(machine)
             task.start_epoch = machine.worker_epoch
             self.cluster.unacknowledged_tasks.add(task)
-            if direct:
-                key = (task.name, task.attempt)
-                machine.unacknowledged_starts[key] = machine.unacknowledged_starts.get(key, 0) + 1
-                task.start_retry_at = now + SECOND
-            else:
-                # On a slow link direct commands overtake a heartbeat response: a task was started by a direct command,
-                # stopped and forgotten, then started again by the response while it ran on another machine.
-                machine.starts_in_response.add((task.name, task.attempt))
+            # On a slow link direct messages overtake a heartbeat response: a task was stopped and forgotten, then
+            # started by the response while it ran on another machine.
+            machine.starts_in_response.add((task.name, task.attempt))
+
+    # --- direct messages --------------------------------------------------------------------------
+
+    def token_for(self, machine: Machine) -> int:
+        """Returns the fencing token for messages to a machine; the worker drops any with a lower one."""
+        return max(self.cluster.fencing_token, machine.command_token)
+
+    def direct_message(self, machine: Machine, now: int) -> DirectMessage | None:
+        """Returns the message to send to a machine without waiting for its heartbeat; None if there is none."""
+        stops = self._due_stops(machine)[: wire.MAX_COMMANDS_PER_MESSAGE]
+        requests_heartbeat = self._may_request_heartbeat(machine, now) and self._is_heartbeat_wanted(machine)
+        if not stops and not requests_heartbeat:
+            return None
+        return DirectMessage(self.token_for(machine) + requests_heartbeat, stops, requests_heartbeat)
+
+    def _is_heartbeat_wanted(self, machine: Machine) -> bool:
+        """Returns whether a start is due that should not wait for the machine's next heartbeat.
+
+        A request for an array task keeps the next service or gang on the machine from being requested. So, if some
+        class has to start sooner than heartbeats come, the start of an array task waits, except on an idle machine: one
+        that runs tasks sends a heartbeat whenever one of them changes.
+        """
+        unsent = [
+            task
+            for task in machine.tasks
+            if self._is_start_due(machine, task) and (task.name, task.attempt) not in machine.starts_in_response
+        ]
+        is_idle = len(unsent) == len(machine.tasks)
+        if is_idle or not self._are_requests_reserved:
+            return bool(unsent)
+        return any(task.job.kind is not JobKind.ARRAY for task in unsent)
+
+    def _may_request_heartbeat(self, machine: Machine, now: int) -> bool:
+        """Returns whether a higher token makes the worker send a heartbeat, and an own commit allows that token."""
+        tokens = self.cluster.tokens
+        return (
+            now - machine.token_changed_at > self._heartbeat_request_interval
+            and tokens.includes(machine.fencing_token)
+            and tokens.includes(self.token_for(machine) + 1)
+        )
+
+    def on_direct_message(self, machine: Machine, message: DirectMessage, now: int) -> None:
+        """Records a direct message that is about to be sent."""
+        machine.command_token = message.fencing_token
+        if message.requests_heartbeat:
+            machine.token_changed_at = now
 
     def on_contact(self, machine: Machine) -> None:
         """Clears `command_unreachable` of a machine that answered a direct request."""
         if machine.command_unreachable:
             machine.command_unreachable = False
             self.cluster.planning_needed = True
-
-    def on_start_response(self, machine: Machine, starts: Iterable[tuple[str, int]]) -> None:
-        """Clears the starts of a direct command that was answered: executed, refused or never sent.
-
-        A copy of the command has no effect: while the worker lists an attempt, its start is ignored, and a `forget`
-        carries a token under which the worker refuses the copy.
-        """
-        for key in starts:
-            count = machine.unacknowledged_starts.get(key, 0) - 1
-            if count > 0:
-                machine.unacknowledged_starts[key] = count
-            else:
-                machine.unacknowledged_starts.pop(key, None)
--- a/oatport/control/state/task.py
+++ b/oatport/control/state/task.py
@@ -28,7 +28,7 @@
     phase: TaskPhase = TaskPhase.PENDING
     attempt: int = 0
     machine: Machine | None = None
-    # Worker epoch under which this leader last sent the start; 0: not sent by this leader.
+    # Worker epoch of the heartbeat whose response last contained the start; 0: not sent by this leader.
     start_epoch: int = 0
     # Worker epoch and number of the last processed heartbeat that listed this attempt; None: none has.
     start_acknowledged: tuple[int, int] | None = None
@@ -37,7 +37,6 @@
     running_since: int = 0
     stop_grace_s: float | None = None  # set when the task is to leave its machine: its grace period
     stop_sent_at: int = 0
-    start_retry_at: int = 0
     binding_epoch: int = 0  # worker epoch at the binding (recorded for classes that limit retries)
     retry_exhausted: bool = False  # it may not run again
     bound_at_revision: int = 0  # of the commit of its binding by this leader; 0: an earlier leader bound it
@@ -61,6 +60,5 @@
         self.running_since = 0
         self.stop_grace_s = None
         self.stop_sent_at = 0
-        self.start_retry_at = 0
         self.binding_epoch = 0
         self.bound_at_revision = 0
--- a/oatport/lab/__init__.py
+++ b/oatport/lab/__init__.py
@@ -14,7 +14,7 @@
     "fencing",
     "write-ahead",
     "start-in-flight",
-    "forget-fence",
+    "starts-in-responses",
     "failure-confirmation",
     "process-identity",
     "dependency-release",
@@ -32,4 +32,12 @@
     "commit-verification",
 )
 # Families of generated fault plans (`lab simulate --scenario`), implemented in oatport/simulation/runner.py.
-SCENARIOS = ("random", "rolling-upgrade", "unreachable-machines", "state-outage", "fault-interactions", "quota")
+SCENARIOS = (
+    "random",
+    "rolling-upgrade",
+    "unreachable-machines",
+    "restarted-machines",
+    "state-outage",
+    "fault-interactions",
+    "quota",
+)
--- a/oatport/service/cloud_controller.py
+++ b/oatport/service/cloud_controller.py
@@ -120,7 +120,11 @@
             "rented machines count=%d type=%s zone=%s spot=%s", len(names), request.type, request.zone, request.spot
         )
         for name in names:
-            self.cluster.add_machine(name, request.type, request.zone, request.spot, "", steady(), time_of_day())
+            machine = self.cluster.add_machine(
+                name, request.type, request.zone, request.spot, "", steady(), time_of_day()
+            )
+            if machine is not None:
+                machine.rented_in_term = True
 
     # --- release ----------------------------------------------------------------------------
 
--- a/oatport/service/cluster_status.py
+++ b/oatport/service/cluster_status.py
@@ -22,7 +22,7 @@
         "runtime_threshold_s": f"{seconds(cluster.router.threshold):.0f}",
         "rent_requests_in_flight": len(availability.requests_in_flight),
         "offerings_refused": availability.refused_count(now),
-        "starts_refused": cluster.command_audit.refused_starts,
+        "commands_refused": cluster.command_audit.refused_commands,
         "attempts_reappeared": cluster.command_audit.reappeared_attempts,
     }
     values |= {f"cost_{use}": f"{cost:.2f}" for use, cost in sorted(cluster.accounting.cost_by_use.items())}
--- a/oatport/service/command_sender.py
+++ b/oatport/service/command_sender.py
@@ -1,11 +1,11 @@
-"""Sends commands to workers directly, without waiting for their next heartbeat."""
+"""Sends stops to workers directly, and requests heartbeats, whose responses carry the other commands."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 
-from oatport.clients.http import NoResponseError, RequestNotSentError
+from oatport.clients.http import NoResponseError
 from oatport.clients.worker import WorkerClient
 from oatport.control.state.machine import Machine
 from oatport.service.leader_context import LeaderContext
@@ -54,8 +54,7 @@
             cluster.machines_to_command.discard(machine)
             if not machine.address or not machine.worker_epoch:
                 continue
-            commands, _ = cluster.commands.for_machine(machine, now, direct=True)
-            if commands:  # usually empty: most commands are already in flight
+            if cluster.commands.direct_message(machine, now) is not None:  # usually there is nothing to send
                 self._sending.add(machine)
                 self._leader.background.spawn("send", self.send(machine))
 
@@ -74,29 +73,23 @@
         now = leader.now()
         if not leader.holds_lease() or machine.removed:
             return  # stop commands are still sent in heartbeat responses
-        commands, starts = cluster.commands.for_machine(machine, now, direct=True)
-        if not commands:
+        message = cluster.commands.direct_message(machine, now)
+        if message is None:
             return
-        cluster.commands.on_sent(machine, starts, now, direct=True)
-        sent_starts = [(task.name, task.attempt) for task in starts]
-        token = cluster.commands.token_for(machine)
-        cluster.command_audit.on_sent(machine, token, commands, starts, direct=True)
+        token = message.fencing_token
+        cluster.commands.on_direct_message(machine, message, now)
+        cluster.command_audit.on_sent(machine, token, message.stops, (), direct=True)
         self._requests += 1
         try:
             client = WorkerClient(self._net, machine.address)
-            reply = await client.send_commands(token, machine.worker_epoch, commands)
-        except RequestNotSentError:
-            # No connection was made, so the commands can't arrive later.
-            cluster.commands.on_start_response(machine, sent_starts)
-            return
+            reply = await client.send_commands(token, machine.worker_epoch, message.stops)
         except NoResponseError as error:
             log.info('commands got no response machine=%s error="%s"', machine.name, error)
             return
         if not reply.executed:
-            cluster.command_audit.on_refused(machine, token, reply.heartbeat, sent_starts)
+            cluster.command_audit.on_refused(machine, token, reply.heartbeat)
         if cluster.tokens.is_superseded_by(reply.heartbeat.fencing_token):
             leader.step_down(f"a worker has seen token {reply.heartbeat.fencing_token}")
             return
-        cluster.commands.on_start_response(machine, sent_starts)
         cluster.commands.on_contact(machine)
         leader.receive_heartbeat(reply.heartbeat, steady())
--- a/oatport/service/heartbeat_controller.py
+++ b/oatport/service/heartbeat_controller.py
@@ -53,13 +53,7 @@
         cluster.commands.on_heartbeat_delivered(machine, heartbeat)
         if machine.command_unreachable:
             self._probe([machine], now)
-        if cluster.commands.must_let_lease_expire(machine, now):
-            # A start command of a cancelled job may still be in flight to this machine.
-            log.warning("lease is left to expire machine=%s", machine.name)
-            return None
-        if not is_outdated and not self._command_sender.is_sending(machine):
-            cluster.commands.raise_token_for_forgets(machine)
-        commands, starts = cluster.commands.for_machine(machine, now, direct=False)
+        commands, starts = cluster.commands.for_response(machine)
         # An outdated heartbeat is a late copy, or was overtaken by the response to a command. Its sender may not
         # receive this response, so no start command in the response may count as sent.
         if is_outdated or not leader.holds_lease() or machine.releasing:
@@ -68,7 +62,7 @@
             # every heartbeat response renews the lease of tasks whose cancellation was confirmed to the user.
             commands = [command for command in commands if not isinstance(command, wire.StartCommand)]
             starts = []
-        cluster.commands.on_sent(machine, starts, now, direct=False)
+        cluster.commands.on_starts_sent(machine, starts)
         if not self._command_sender.is_sending(machine):
             cluster.machines_to_command.discard(machine)
         token = cluster.commands.token_for(machine)
--- a/oatport/service/maintenance.py
+++ b/oatport/service/maintenance.py
@@ -1,4 +1,4 @@
-"""The maintenance loop: resends unanswered starts, updates statistics, and logs the leader's status."""
+"""The maintenance loop: requests heartbeats for due starts, updates statistics, and logs the leader's status."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
         self._max_requests = max(self._max_requests, self._command_sender.take_request_count())
         if now - self._accounted_at > ACCOUNTING_INTERVAL:
             self._update_accounting(now)
-        self._retry_unanswered_starts(now)
+        self._request_heartbeats_for_starts()
         self._orphaned_job_lookup.look_up()
         cluster.completions.to_replicate()  # drops completions that have been recorded by now
         if now - self._model_written_at > MODEL_WRITE_INTERVAL and cluster.predictor.changed:
@@ -73,8 +73,8 @@
         self._max_requests = 0
         self._leader.cluster.accounting.update(now)
 
-    def _retry_unanswered_starts(self, now: int) -> None:
+    def _request_heartbeats_for_starts(self) -> None:
         cluster = self._leader.cluster
         for task in cluster.unacknowledged_tasks:
-            if task.start_acknowledged is None and task.machine is not None and task.start_retry_at <= now:
+            if task.start_acknowledged is None and task.machine is not None:
                 cluster.machines_to_command.add(task.machine)
--- a/oatport/simulation/machine_host.py
+++ b/oatport/simulation/machine_host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,8 @@
 from oatport.times import MS, SECOND, micros, seconds
 
 HEARTBEAT_TIMEOUT = 4 * SECOND
+MAX_COPIED_MESSAGES = 100  # newest executed direct messages of which copies may arrive after a restart
+MIN_COPY_DELAY, MAX_COPY_DELAY = 20 * MS, 900 * MS  # from a restart to the arrival of such a copy
 MIN_HEARTBEAT_INTERVAL = 500 * MS
 
 
@@ -41,6 +44,7 @@
         self._reported_state: tuple[Any, ...] = ()
         self._token_reported_at = -self._half_lease_us
         self._timer: asyncio.TimerHandle | None = None
+        self._executed_messages: deque[Any] = deque(maxlen=MAX_COPIED_MESSAGES)
         worker.on_change = self._schedule_wake
         # Called when a node has responded to a heartbeat, with the node's name and the attempts in the heartbeat.
         self.on_heartbeat_answered: Callable[[str, list[dict[str, Any]]], None] = lambda node, attempts: None
@@ -57,6 +61,17 @@
         self._net.on_machine_gone(self.worker.address)
         self.host.end()
 
+    def restart(self, *, reset_epoch: bool) -> None:
+        """Restarts the machine at once, and delivers copies of the direct messages that it has executed.
+
+        With `reset_epoch`, the worker epoch begins at 1 again. Some of the copies arrive before the machine's first
+        heartbeat is answered: until then nothing shows the worker that they are old.
+        """
+        self.worker.restart(reset_epoch=reset_epoch)
+        for body in self._executed_messages:
+            delay = self._rng.randrange(MIN_COPY_DELAY, MAX_COPY_DELAY)
+            self.host.loop.call_later_us(delay, self.host, self._serve, "POST", wire.COMMANDS_PATH, body)
+
     def _schedule_wake(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -86,6 +101,8 @@
             return 200, self.worker.report()
         token = self.worker.token
         response = self.worker.commands(body)
+        if response[0] == 200 and body not in self._executed_messages:
+            self._executed_messages.append(body)
         self._schedule_wake()
         self._on_token_received(token)
         return response
--- a/oatport/simulation/mutations.py
+++ b/oatport/simulation/mutations.py
@@ -22,7 +22,7 @@
 from oatport.control.queueing.dependency_tracker import DependencyTracker
 from oatport.control.state.cancellations import CancellationLog
 from oatport.control.state.heartbeats import HeartbeatReceiver
-from oatport.control.state.machine_commands import MachineCommands
+from oatport.control.state.machine_commands import DirectMessage, MachineCommands
 from oatport.control.state.task import TaskPhase
 from oatport.control.state.task_lifecycle import TaskLifecycle
 from oatport.control.state.unwritten_completions import UnwrittenCompletions
@@ -88,17 +88,24 @@
     return [patch.object(TaskLifecycle, "begin_binding", bind_and_send)]
 
 
-def _forget_fence() -> list[Any]:
-    """Sends forget commands under the token of the forgotten attempts' starts."""
-    return [patch.object(MachineCommands, "_is_fenced", lambda self, machine: True)]
+def _starts_in_responses() -> list[Any]:
+    """Sends due starts in direct messages too, of which copies may arrive late."""
+    direct_message = MachineCommands.direct_message
+
+    def with_starts(self: MachineCommands, machine: Any, now: int) -> DirectMessage | None:
+        message = direct_message(self, machine, now)
+        commands, starts = self.for_response(machine)
+        if not starts:
+            return message
+        self.on_starts_sent(machine, starts)
+        return DirectMessage(self.token_for(machine), commands[: len(starts)], requests_heartbeat=False)
+
+    return [patch.object(MachineCommands, "direct_message", with_starts)]
 
 
 def _start_in_flight() -> list[Any]:
     """Sends the forget command of a terminated attempt while a start command for it may be in flight."""
-    return [
-        patch.object(MachineCommands, "_may_forget", lambda self, machine, name, attempt: True),
-        *_forget_fence(),
-    ]
+    return [patch.object(MachineCommands, "_may_forget", lambda self, machine, name, attempt: True)]
 
 
 def _failure_confirmation() -> list[Any]:
@@ -219,9 +226,7 @@
     """Sends the forget command of a terminated attempt before its completion is recorded."""
 
     def may_forget_before_record(self: MachineCommands, machine: Any, name: str, attempt: int) -> bool:
-        return (
-            not machine.unacknowledged_starts.get((name, attempt)) and (name, attempt) not in machine.starts_in_response
-        )
+        return (name, attempt) not in machine.starts_in_response
 
     return [patch.object(MachineCommands, "_may_forget", may_forget_before_record)]
 
@@ -301,7 +306,7 @@
     "fencing": _fencing,
     "write-ahead": _write_ahead,
     "start-in-flight": _start_in_flight,
-    "forget-fence": _forget_fence,
+    "starts-in-responses": _starts_in_responses,
     "failure-confirmation": _failure_confirmation,
     "process-identity": _process_identity,
     "dependency-release": _dependency_release,
--- a/oatport/simulation/runner.py
+++ b/oatport/simulation/runner.py
@@ -19,7 +19,12 @@
 from oatport.simulation.fault_plan import Plan
 from oatport.simulation.mutations import safety_check_disabled
 from oatport.simulation.quota_scenarios import quota_plan
-from oatport.simulation.scenario_generator import random_plan, rolling_upgrade_plan, unreachable_machines_plan
+from oatport.simulation.scenario_generator import (
+    random_plan,
+    restarted_machines_plan,
+    rolling_upgrade_plan,
+    unreachable_machines_plan,
+)
 from oatport.simulation.simulation import RunResult, Simulation
 from oatport.simulation.size_limit_scenario import size_limit_plan
 from oatport.simulation.state_outage_scenario import state_outage_plan
@@ -35,6 +40,7 @@
     "random": random_plan,
     "rolling-upgrade": rolling_upgrade_plan,
     "unreachable-machines": unreachable_machines_plan,
+    "restarted-machines": restarted_machines_plan,
     "state-outage": state_outage_plan,
     "fault-interactions": fault_interaction_plan,
     "quota": quota_plan,
--- a/oatport/simulation/scenario_generator.py
+++ b/oatport/simulation/scenario_generator.py
@@ -69,6 +69,33 @@
     return builder.build(machines / 2)
 
 
+def restarted_machines_plan(
+    seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 120.0
+) -> Plan:
+    """Returns a plan in which machines restart at once with their first epoch, after some of their tasks were moved.
+
+    Tasks of the lowest priority are preempted by services and reclaimed with their machines, so that earlier attempts
+    of running tasks are known to other machines.
+    """
+    builder = PlanBuilder(seed, nodes, machines, zones, for_s)
+    rng, count = builder.rng, builder.tenth_of_machines
+    at_s = rng.uniform(10, 16)
+    builder.add_task_burst(at_s)
+    builder.add("rush", at_s + rng.uniform(4, 8), 4.0, name="serve", amount=rng.uniform(8, 16))
+    for _ in range(3):
+        at_s += rng.uniform(8, 16)
+        builder.add("machines_taken", at_s - rng.uniform(2, 6), count=count, amount=rng.choice([0.0, 4.0]))
+        builder.add("machine_blink", at_s, count=count * 3, amount=1.0)
+    if rng.random() < 0.5:
+        builder.crash_leader(at_s + rng.uniform(-6, 1))
+    if rng.random() < 0.5:
+        builder.cancel_jobs(at_s - rng.uniform(2, 10), 4.0)
+    if rng.random() < 0.5:
+        builder.add("report_copies", 5.0, for_s - 45.0, amount=rng.choice([3.0, 20.0]))
+    builder.add_late_copies()
+    return builder.build(machines / 2)
+
+
 def rolling_upgrade_plan(
     seed: int, nodes: int = 3, machines: int = 40, zones: tuple[str, ...] = ("a", "b"), for_s: float = 150.0
 ) -> Plan:
