--- a/emulators/serve.py
+++ b/emulators/serve.py
@@ -11,6 +11,8 @@
 import contextlib
 import random
 import time
+from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import aiohttp
@@ -59,10 +61,22 @@
     return runner
 
 
+LATE_TRANSACTION_S = 2.0  # from the arrival of a late transaction to its execution
+
+
+class TransactionFault(StrEnum):
+    """Lists what may happen to a transaction of the state service (PROTOCOL, "Limits and errors")."""
+
+    NONE = "none"
+    REFUSED = "refused"  # 429
+    UNANSWERED = "unanswered"  # executed, but the connection is lost
+    LATE = "late"  # the connection is lost, and it is executed LATE_TRANSACTION_S later
+
+
 class Emulators:
     """Serves the state service and the cloud at their addresses, and a worker for each rented machine.
 
-    `nodes` maps the names of the nodes to their addresses.
+    `nodes` maps the names of the nodes to their addresses; `transaction_fault` returns the fault of a transaction.
     """
 
     def __init__(self, state_address: str, cloud_address: str, nodes: dict[str, str], heartbeat_s: float = 0.5) -> None:
@@ -78,6 +92,7 @@
         self._worker_runners: dict[str, web.ServerRunner] = {}
         self.workers: dict[str, Worker] = {}
         self._session: aiohttp.ClientSession | None = None
+        self.transaction_fault: Callable[[Any], TransactionFault] = lambda body: TransactionFault.NONE
 
     async def start(self) -> None:
         """Starts the servers of the state service and the cloud."""
@@ -106,7 +121,7 @@
         if path.startswith(wire.STORE_PATH + "/"):
             return _response(*self.state.get(path[len(wire.STORE_PATH) + 1 :]))
         if path == wire.COMMIT_PATH:
-            return _response(*self.state.commit(body))
+            return self._commit(request, body)
         if path == wire.LEASES_PATH:
             return _response(*self.state.grant_lease(int(body["lifeMs"])))
         if path.startswith(wire.LEASES_PATH):
@@ -116,6 +131,19 @@
             return await self._watch(query.get("under", ""), int(query["from"]), monotonic_us() + wait_us)
         return _response(404, None)
 
+    def _commit(self, request: web.BaseRequest, body: Any) -> web.Response:
+        fault = self.transaction_fault(body)
+        if fault is TransactionFault.REFUSED:
+            return _response(429, None)
+        if fault is TransactionFault.LATE:
+            asyncio.get_running_loop().call_later(LATE_TRANSACTION_S, self.state.commit, body)
+            status, value = 503, None  # not received: the connection is closed
+        else:
+            status, value = self.state.commit(body)
+        if fault is not TransactionFault.NONE and request.transport is not None:
+            request.transport.abort()
+        return _response(status, value)
+
     async def _watch(self, prefix: str, after: int, deadline: int) -> web.Response:
         """Returns the changes after a revision; waits for changes until `deadline` if there are none."""
         while True:
--- a/oatport/lab/queues.py
+++ b/oatport/lab/queues.py
@@ -2,9 +2,10 @@
 
 Real gateways and nodes run on loopback around emulators. The broker, the gateways and the nodes are killed at times
 drawn from the seed, and connections break at drawn points between delivery and acknowledgement, and between publish
-and confirm. The audit then compares the messages that the senders sent and received with the tasks that the workers
-ran, without using the gateways' own records. A move is one message that submits a job. The experiment runs in real
-time: the seed determines which faults occur, not how packets interleave.
+and confirm. Gateways join while the state service refuses transactions that hand over parts, leaves them unanswered or
+executes them late. The audit then compares the messages that the senders sent and received with the tasks that the
+workers ran, without using the gateways' own records. A move is one message that submits a job. The experiment runs in
+real time: the seed determines which faults occur, not how packets interleave.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from oatport.clients.http import HttpConnector, make_session
 from oatport.clients.state import StateClient
 from oatport.control.placement.retry_policy import RetryPolicy
+from oatport.lab.queue_handover import count_unanswered_parts, handover_fault
 from oatport.lab.queue_senders import REPLY_QUEUE, Senders
 from oatport.queues import intake
 from oatport.queues.core import HttpSchedulerClient
@@ -43,6 +45,7 @@
 
 NO_RETRY_QUEUE, RETRY_QUEUE = "moves", "replays"  # a lost job of the first queue isn't run again if it may have started
 NODE_COUNT = 3
+MAX_JOINED_GATEWAYS = 4
 
 
 def _free_port() -> int:
@@ -91,6 +94,7 @@
         self._gateway_names = [f"g{i}" for i in range(gateways)]
         self.released_starts: Counter[str] = Counter()  # starts on machines that were released, by task
         self.closed_gateway_writes = 0
+        self.joined_count = 0  # gateways that joined during the run
 
     async def start(self) -> None:
         """Starts the emulators, the broker, all nodes and all gateways."""
@@ -185,6 +189,12 @@
         link.start(gateway)
         self.gateways[name] = gateway, link
 
+    def join_gateway(self, rng: random.Random) -> None:
+        """Starts a further gateway, while the state service fails transactions that hand over parts to it."""
+        self._emulators.transaction_fault = handover_fault(rng)
+        self.joined_count += 1
+        self.start_gateway(f"j{self.joined_count}")
+
     def kill_gateway(self, name: str) -> None:
         """Stops a gateway as if its process were killed, and counts its writes."""
         gateway, link = self.gateways.pop(name)
@@ -209,8 +219,12 @@
     started_at = time.monotonic()
     for kill_time in kill_times:
         await asyncio.sleep(max(0.0, started_at + kill_time - time.monotonic()))
-        fault_kind = rng.choice(("connection", "connection", "connection", "gateway", "gateway", "node", "broker"))
-        if fault_kind == "gateway" and deployment.gateways:
+        fault_kind = rng.choice(
+            ("connection", "connection", "connection", "gateway", "gateway", "join", "join", "node", "broker")
+        )
+        if fault_kind == "join" and deployment.joined_count < MAX_JOINED_GATEWAYS:
+            deployment.join_gateway(rng)
+        elif fault_kind == "gateway" and deployment.gateways:
             name = rng.choice(sorted(deployment.gateways))
             deployment.kill_gateway(name)
             asyncio.get_running_loop().call_later(rng.uniform(0.1, 2.0), deployment.start_gateway, name)
@@ -291,6 +305,8 @@
         senders.last_answer_at = time.monotonic()
         await senders.wait_for_answers(moves)
         duration_s = time.monotonic() - started_at
+        deployment.join_gateway(rng)
+        unanswered_parts = await count_unanswered_parts(senders, RETRY_QUEUE, rng)
         await asyncio.sleep(1.0)  # for duplicate answers to arrive
         audit_result = audit(senders, deployment.task_starts())
         state_writes = deployment.closed_gateway_writes + sum(
@@ -306,6 +322,7 @@
     return {
         "seed": seed,
         **audit_result,
+        "unanswered_parts": unanswered_parts,
         "changes_per_message": round(state_writes / max(moves, 1), 2),
         "messages_per_s": round(moves / duration_s, 1),
         "p50_ms": round(latencies_s[len(latencies_s) // 2] * 1000),
@@ -330,6 +347,7 @@
         result["answered_once"] == result["moves"]
         and not result["double_answers"]
         and not result["lost"]
+        and not result["unanswered_parts"]
         and not result["runs_against_class"]
     )
 
--- a/oatport/queues/gateway.py
+++ b/oatport/queues/gateway.py
@@ -135,7 +135,14 @@
             log.info("gateway joined gateway=%s", self.settings.name)
 
     async def _rebalance_parts(self) -> None:
-        """Releases parts that are lost or assigned to another gateway, and acquires those assigned to this one."""
+        """Releases parts that are lost or assigned to another gateway, and acquires those assigned to this one.
+
+        What is to be released follows from the stored keys alone. A request to delete or write a key may be refused,
+        stay unanswered or be executed late; the next rebalance repeats what is still needed. Each is conditional on the
+        key's version, so a late one changes nothing that was written after it.
+
+        Raises LeaseExpiredError, NoResponseError, RequestRefusedError or StoreUnavailableError.
+        """
         members, _ = await self.state.list_prefix(MEMBERS_PREFIX)
         own_entry = next((entry for entry in members if entry.key == MEMBERS_PREFIX + self.settings.name), None)
         if own_entry is None or own_entry.value.get("boot") != self.boot_id:
@@ -144,19 +151,20 @@
             self._is_name_taken = own_entry is not None
             raise LeaseExpiredError
         assigned_parts = parts_for(self.settings.name, [entry.key[len(MEMBERS_PREFIX) :] for entry in members])
-        rows, _ = await self.state.list_prefix(PARTS_PREFIX)
-        part_entries = {int(entry.key[len(PARTS_PREFIX) :]): (entry.value, entry.revision) for entry in rows}
+        stored = {
+            int(entry.key[len(PARTS_PREFIX) :]): entry for entry in (await self.state.list_prefix(PARTS_PREFIX))[0]
+        }
         for part, token in list(self.outbox.parts.items()):
-            if part_entries.get(part, ({}, 0))[1] != token:
-                self.outbox.remove_part(part)
-            elif part not in assigned_parts:
-                self.outbox.remove_part(part)  # no answer may be published after the part key is deleted
-                await self.state.commit({part_key(part): token}, {}, [part_key(part)])
+            if part not in stored or stored[part].revision != token or part not in assigned_parts:
+                self.outbox.remove_part(part)  # no answer may be published once the part key is deleted
+        for part, entry in stored.items():
+            if part not in assigned_parts and entry.value.get("boot") == self.boot_id:
+                await self.state.commit({entry.key: entry.revision}, {}, [entry.key])
         for part in sorted(assigned_parts - self.outbox.parts.keys()):
-            existing = part_entries.get(part)
-            if existing is not None and existing[0].get("boot") != self.boot_id:
+            existing = stored.get(part)
+            if existing is not None and existing.value.get("boot") != self.boot_id:
                 continue  # retried until the owner releases the part or its lease expires
-            await self._acquire_part(part, existing[1] if existing else 0)
+            await self._acquire_part(part, existing.revision if existing else 0)
 
     async def _acquire_part(self, part: int, version: int) -> None:
         value = {"name": self.settings.name, "boot": self.boot_id}
@@ -168,8 +176,8 @@
         self.outbox.add_part(part, result.revision, [])
         try:
             rows, _ = await self.store.list_rows(part_prefix(part))
-        except StoreUnavailableError:
-            self.outbox.remove_part(part)  # acquired and listed again by the next rebalance
+        except BaseException:
+            self.outbox.remove_part(part)  # its rows are unknown; the next rebalance acquires and lists it again
             raise
         open_rows = [(row, row_version) for row, row_version in rows if row.state != RowState.DELIVERED]
         taken_job_ids = self.outbox.add_part(part, result.revision, open_rows)
--- a/tests/test_amqp_queues.py
+++ b/tests/test_amqp_queues.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -18,7 +19,7 @@
 from emulators.amqp_broker import Broker
 from oatport import wire
 from oatport.cli import main
-from oatport.clients.http import RequestRefusedError
+from oatport.clients.http import NoResponseError, RequestRefusedError
 from oatport.clients.state import LeaseExpiredError, Listing
 from oatport.control.leadership.leader_lease import LeaderLease
 from oatport.lab.queue_senders import Senders
@@ -31,7 +32,7 @@
 from oatport.queues.link import REASON_HEADER, BrokerConnection
 from oatport.queues.members import parts_for
 from oatport.queues.outbox import RECONCILE_INTERVAL, Outbox
-from oatport.queues.rows import MessageRow, RowState, answer_of_record, part_key, row_key
+from oatport.queues.rows import MessageRow, RowState, answer_of_record, part_key, part_prefix, row_key
 from oatport.queues.settings import GatewaySettings, QueueSettings, load_gateway_settings
 from oatport.queues.store import Store, StoreUnavailableError
 from oatport.queues.templates import InvalidMessageError, Template
@@ -471,6 +472,127 @@
     gateway.close()
 
 
+async def _rebalance(gateway: Gateway, *faults: str) -> None:
+    """Rebalances the parts of a gateway; `faults` meet the transactions, each of which has one or a success ("")."""
+    client = gateway.state
+    assert isinstance(client, GatewayStateClient)
+    client.faults = list(faults)
+    with contextlib.suppress(NoResponseError, RequestRefusedError, StoreUnavailableError):
+        await gateway._rebalance_parts()
+    client.faults = []
+
+
+async def _two_gateways(state: KeyStore) -> tuple[Gateway, Gateway]:
+    """Returns a gateway that owns all parts, and one that has just joined; the test calls their rebalances."""
+    first, second = make_gateway(state, "a"), make_gateway(state, "b")
+    first._lease_duration = second._lease_duration = 60 * SECOND
+    await first._join()
+    await _rebalance(first)
+    assert len(first.outbox.parts) == PART_COUNT
+    await second._join()
+    return first, second
+
+
+def _assert_each_part_has_one_owner(state: KeyStore, *gateways: Gateway) -> None:
+    owned = [part for gateway in gateways for part in gateway.outbox.parts]
+    assert sorted(owned) == list(range(PART_COUNT))
+    for gateway in gateways:
+        for part, token in gateway.outbox.parts.items():
+            value, version, _ = state.items[part_key(part)]
+            assert (value["boot"], version) == (gateway.boot_id, token)
+
+
+@pytest.mark.parametrize("fault", ["refuse", "lose", "late"])
+@pytest.mark.parametrize("position", [0, 1, 4])
+async def test_a_part_whose_release_fails_is_released_by_a_later_rebalance(fault: str, position: int) -> None:
+    """Guards against a part that nobody serves: its owner forgot it, and its key stayed under the owner's lease."""
+    state = KeyStore(steady, ops_limit=16)
+    first, second = await _two_gateways(state)
+    await _rebalance(first, *[""] * position, fault)
+    await _rebalance(second)
+    await _rebalance(first)
+    await _rebalance(second)
+    _assert_each_part_has_one_owner(state, first, second)
+    first.state.deliver_delayed()  # type: ignore[attr-defined]
+    _assert_each_part_has_one_owner(state, first, second)
+    first.close()
+    second.close()
+
+
+@pytest.mark.parametrize("fault", ["refuse", "lose", "late"])
+async def test_a_part_whose_acquisition_fails_is_acquired_or_released_later(fault: str) -> None:
+    """Guards against a part that is acquired by a request without an answer, and then assigned to another gateway."""
+    state = KeyStore(steady, ops_limit=16)
+    first = make_gateway(state, "a")
+    first._lease_duration = 60 * SECOND
+    await first._join()
+    await _rebalance(first, *["", "", fault])
+    assert len(first.outbox.parts) == 2
+    second = make_gateway(state, "b")
+    second._lease_duration = 60 * SECOND
+    await second._join()
+    first.state.deliver_delayed()  # type: ignore[attr-defined]
+    for gateway in (second, first, second):
+        await _rebalance(gateway)
+    _assert_each_part_has_one_owner(state, first, second)
+    first.close()
+    second.close()
+
+
+async def test_a_part_whose_rows_could_not_be_listed_is_acquired_again() -> None:
+    """Guards against a part that stays in the outbox without its rows, whose messages are never answered."""
+    state = KeyStore(steady, ops_limit=16)
+    gateway = make_gateway(state, "a")
+    list_rows = gateway.store.list_rows
+    errors: list[Exception] = [StoreUnavailableError("refused"), ValueError("not a page of rows")]
+
+    async def fail_then_list(prefix: str = "q/") -> Any:
+        if errors:
+            raise errors.pop(0)
+        return await list_rows(prefix)
+
+    gateway.store.list_rows = fail_then_list  # type: ignore[method-assign]
+    await gateway._join()
+    for error in (StoreUnavailableError, ValueError):
+        with pytest.raises(error):
+            await gateway._rebalance_parts()
+        assert not gateway.outbox.parts
+    await gateway._rebalance_parts()
+    assert len(gateway.outbox.parts) == PART_COUNT
+    gateway.close()
+
+
+async def test_a_message_of_a_part_whose_release_was_refused_is_answered_once() -> None:
+    """Guards against a message that is run and never answered, and one that the old and the new owner both answer."""
+    state = KeyStore(steady, ops_limit=16)
+    first, second = await _two_gateways(state)
+    answers: list[str] = []
+
+    async def publish(row: MessageRow) -> bool:
+        answers.append(row.identity)
+        return True
+
+    first.outbox._publish = second.outbox._publish = publish
+    await _rebalance(first, *["refuse"] * PART_COUNT)
+    identities = [f"m-{number}" for number in range(40)]
+    for identity in identities:
+        job_id = job_id_of("moves", identity)
+        row = MessageRow(job_id, "moves", identity, "replies", MOVES.template.render_job(job_id, b"{}"))
+        state.commit({"if": [], "then": [{"set": row_key(job_id), "value": row.encode()}]})
+    for gateway in (second, first, second, first):
+        await _rebalance(gateway)
+    for gateway in (first, second, first, second):
+        for part in gateway.outbox.parts:
+            for row, version in (await gateway.store.list_rows(part_prefix(part)))[0]:
+                gateway.outbox.on_row_changed(row, version)
+        for job_id in list(gateway.outbox.rows):
+            await gateway.outbox.reconcile(job_id, state.items.get(f"jobs/{job_id}", (None,))[0])
+            await gateway.outbox.publish_answer(job_id)
+    assert sorted(answers) == sorted(identities)
+    first.close()
+    second.close()
+
+
 async def test_a_second_process_of_the_same_name_acquires_parts_and_shares_none_with_the_first() -> None:
     state = KeyStore(steady, ops_limit=16)
     first, duplicate = make_gateway(state, "a"), make_gateway(state, "a")
