Hold the lease proxy's tokens as FencingTokens; build log texts only if they are logged

Cause: LeaseProxy kept a term's token and its highest token side by side and compared the range itself, as FencingTokens does; CommandAudit built the texts of each message also where LOG_LEVEL leaves the line out. Change: the proxy holds a FencingTokens and asks it; the audit looks at the level first. Behaviour stays.

--- a/oatport/control/leadership/lease_proxy.py
+++ b/oatport/control/leadership/lease_proxy.py
@@ -16,13 +16,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from oatport.control.leadership.fencing_tokens import FencingTokens
 from oatport.control.leadership.lease_renewal import LeaseRenewalLimit
 from oatport.settings import ClusterSettings
 from oatport.times import MS, SECOND
 
 ISOLATED_AFTER = 1_500 * MS  # without an answer from the leader, while the state service does not answer either
+NO_LEADER = 0  # token while no leader has answered
 CLOCK_DRIFT_DIVISOR = 500  # ages by the leader's clock are extended by 1/500 for clock drift
 
 
@@ -44,9 +46,18 @@
     """
 
     renewal_limit: LeaseRenewalLimit
-    fencing_token: int = 0  # of the leader that answered last; 0: none answered
+    tokens: FencingTokens = field(default_factory=lambda: FencingTokens(NO_LEADER))  # of the leader that answered last
     leader_contact_at: int = 0  # when that leader was asked
-    highest_token: int = 0  # highest token of that leader's term: it raises the tokens of single machines
+
+    @property
+    def fencing_token(self) -> int:
+        """Returns the token of the term of the leader that answered last; NO_LEADER: none answered."""
+        return self.tokens.term
+
+    @property
+    def highest_token(self) -> int:
+        """Returns the highest known token of that leader's term: the leader raises the tokens of single machines."""
+        return self.tokens.highest
 
     @classmethod
     def create(cls, settings: ClusterSettings) -> LeaseProxy:
@@ -70,9 +81,9 @@
         """
         if fencing_token < self.fencing_token or min(watermark_age_us, contact_age_us) < 0:
             return
-        known_highest = self.highest_token if fencing_token == self.fencing_token else fencing_token
-        self.fencing_token = fencing_token
-        self.highest_token = max(known_highest, highest_token)
+        if fencing_token > self.fencing_token:
+            self.tokens = FencingTokens(fencing_token)
+        self.tokens.on_committed(highest_token)
         self.leader_contact_at = max(self.leader_contact_at, requested_at - contact_age_us)
         self.renewal_limit.on_cancellations_read(
             requested_at - watermark_age_us - watermark_age_us // CLOCK_DRIFT_DIVISOR
@@ -101,8 +112,7 @@
         leader whose cancellations are unknown here, so this node has no valid answer under that token. A lower token
         means that the leader never reached that worker, so no cancellation was carried out there.
         """
-        is_of_term = self.fencing_token <= seen_token <= self.highest_token
-        if not self.fencing_token or not is_of_term or now >= self.valid_until():
+        if not self.fencing_token or not self.tokens.includes(seen_token) or now >= self.valid_until():
             return False
         return self.is_isolated(now, state_ok_at, state_failed_at)
 
--- a/oatport/control/state/command_audit.py
+++ b/oatport/control/state/command_audit.py
@@ -29,10 +29,12 @@
         """Logs the commands of a message. `starts`: the tasks that its start commands start."""
         if not commands:
             return
-        stops = [command for command in commands if isinstance(command, wire.StopCommand)]
         forgets = [command for command in commands if isinstance(command, wire.ForgetCommand)]
         for command in forgets:
             self._remember(machine, command, token)
+        if not log.isEnabledFor(logging.INFO):
+            return  # the texts below cost more than the rest of a small message
+        stops = [command for command in commands if isinstance(command, wire.StopCommand)]
         log.info(
             "commands sent machine=%s worker_epoch=%d fencing_token=%d direct=%s starts=%s stops=%s forgets=%s",
             machine.name,
